--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -171,6 +171,7 @@
         self.refuse = False        # new connections get no service
         self.closing = False
         self.pairs = []
+        self.stalled = set()       # pairs whose bytes are dropped
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
@@ -179,6 +180,10 @@
         self.forward_cut, self.back_cut = forward, back
         self.refuse = forward or back
 
+    def stall_open_connections(self):
+        """Open connections go silent for good; new ones work."""
+        self.stalled = set(self.pairs)
+
     def heal(self):
         self.forward_cut = self.back_cut = self.refuse = False
         for a, b in self.pairs:
@@ -221,7 +226,7 @@
                                       (b, a, self.back_cut)):
                     if src not in ready:
                         continue
-                    self._move(src, dst, cut, (a, b))
+                    self._move(src, dst, cut or (a, b) in self.stalled, (a, b))
         self.listener.close()
 
     def _move(self, src, dst, cut, pair):
@@ -349,7 +354,7 @@
             self.operators[name], "GET", "/v1/health").status == 200, timeout_s)
 
     def start_server(self, upstream, zone, slots=4, work_ms=5, listen=None,
-                     extra=()):
+                     relay=False, extra=()):
         index = len(self.servers) + 1
         address = listen or free_address()
         # Any entry instance takes announcements; the next one takes over when
@@ -361,8 +366,12 @@
                 work_ms, "--token-file", self.dir / "announce.secret", *extra]
         for name in order:
             args += ["--entry", self.announce[name]]
+        link = Relay(address) if relay else None
+        if link:
+            args += ["--advertise", link.address]
         process = Process(f"server-{index}", args, self.dir / f"server-{index}.log")
         process.address = address
+        process.relay = link
         process.upstream = upstream
         process.start()
         self.servers.append(process)
@@ -384,7 +393,8 @@
     def stop(self):
         for process in list(self.processes.values()) + self.servers:
             process.kill()
-        for relay in self.relays.values():
+        links = [s.relay for s in self.servers if s.relay]
+        for relay in list(self.relays.values()) + links:
             relay.close()
         self.tmp.cleanup()
 
--- /dev/null
+++ b/tests/process_entry.py
@@ -0,0 +1,219 @@
+#!/usr/bin/env python3
+"""Faults of entry instances and backend servers, with real processes."""
+import socket
+import sys
+import threading
+import time
+
+import fleet as fleetlib
+
+
+def alive(fleet, upstream):
+    return [s for s in fleet.servers if s.upstream == upstream and s.running()]
+
+
+def serving(fleet, entry="entry-1"):
+    answer = fleet.get(entry, "/orders/1")
+    assert answer.status == 200, answer
+
+
+def crashing_lookup(fleet):
+    """A request that crashes servers must not take the whole upstream."""
+    before = len(alive(fleet, "lookup"))
+    last = None
+    for i in range(12):
+        entry = fleet.entry_names[i % len(fleet.entry_names)]
+        last = fleet.get(entry, "/orders/13?fault=crash")
+        assert last.status in (502, 422, 503), last
+        time.sleep(0.1)
+    lost = before - len(alive(fleet, "lookup"))
+    assert lost <= 2, f"{lost} of {before} servers crashed"
+    assert last.status == 422 and last.json()["error"] == "quarantined", last
+    assert last.json()["not_run"], last
+    for entry in fleet.entry_names:
+        serving(fleet, entry)
+    print(f"crashing look-up: {lost} servers lost in 12 sends")
+
+
+def crashing_commitment(fleet):
+    """A non-idempotent request that crashes a server runs on one only."""
+    before = len(alive(fleet, "commitment"))
+    answers = [fleet.post(e, "/commitments/66?fault=crash", b"x", "crash-66")
+               for e in fleet.entry_names * 2]
+    lost = before - len(alive(fleet, "commitment"))
+    assert lost == 1, f"{lost} servers crashed"
+    for answer in answers:
+        assert answer.status in (409, 502), answer
+        assert not answer.json()["not_run"], answer
+
+
+def entry_killed_after_dispatch(fleet):
+    """A resend after the entry instance died must not run again."""
+    def first():
+        try:
+            fleet.post("entry-3", "/commitments/70?fault=slow", b"roof", "roof-70")
+        except OSError:
+            pass
+    for server in alive(fleet, "commitment"):
+        fleetlib.request(server.address, "POST", "/testserver/work_ms/100")
+    thread = threading.Thread(target=first)
+    thread.start()
+    fleetlib.wait_until("dispatched", lambda: fleet.runs("roof-70") == 1, 5)
+    fleet.processes["entry-3"].kill()
+    thread.join()
+    for entry in ("entry-1", "entry-2"):
+        answer = fleet.post(entry, "/commitments/70?fault=slow", b"roof", "roof-70")
+        assert answer.status == 409, answer
+        assert answer.json()["error"] == "claim_in_doubt", answer
+        assert not answer.json()["not_run"], answer
+    time.sleep(1.2)
+    assert fleet.runs("roof-70") == 1
+    for server in alive(fleet, "commitment"):
+        fleetlib.request(server.address, "POST", "/testserver/work_ms/5")
+    fleet.start_instance("entry-3")
+    fleet.wait_ready("entry-3")
+    fleetlib.wait_until("entry-3 serves", lambda: fleet.get(
+        "entry-3", "/orders/1").status == 200, 15)
+
+
+def leaving_server(fleet):
+    """A backend server that leaves gets no new work after 3 s."""
+    server = alive(fleet, "lookup")[0]
+    fleetlib.request(server.address, "POST", "/testserver/leave")
+    end = time.monotonic() + 3.8
+    at_limit = None
+    start = time.monotonic()
+    while time.monotonic() < end:
+        for entry in fleet.entry_names:
+            answer = fleet.get(entry, "/orders/1")
+            assert answer.status == 200, answer
+        if at_limit is None and time.monotonic() - start > 3:
+            at_limit = fleet.server_stats(server)["after_leave"]
+        if time.monotonic() - start < 3:
+            late = fleet.server_stats(server)["after_leave"]
+        time.sleep(0.02)
+    assert fleet.server_stats(server)["after_leave"] == at_limit
+    print(f"leaving server: {late} requests after its leave")
+    assert server.wait(10) == 0
+
+
+def restarted_server_same_address(fleet):
+    """A server restarted under its address is used again, as a new one."""
+    server = alive(fleet, "lookup")[0]
+    server.kill()
+    serving(fleet)
+    server.start()
+    fleetlib.wait_until("restarted server works", lambda: (
+        fleet.get("entry-1", "/orders/1").status == 200 and
+        fleet.get("entry-2", "/orders/1").status == 200 and
+        fleet.get("entry-3", "/orders/1").status == 200 and
+        fleet.server_stats(server)["requests"] > 0), 15)
+
+
+def silent_connections(fleet):
+    """Connections that went silent must not cost a look-up its answer."""
+    server = fleet.start_server("lookup", "a2", 7, 5, relay=True)
+    fleetlib.wait_until("server behind the relay works", lambda: (
+        [serving(fleet, e) for e in fleet.entry_names] and
+        fleet.server_stats(server)["requests"] > 5), 20)
+    server.relay.stall_open_connections()
+    slowest = 0.0
+    for i in range(60):
+        start = time.monotonic()
+        answer = fleet.get(fleet.entry_names[i % 3], "/orders/1")
+        slowest = max(slowest, time.monotonic() - start)
+        assert answer.status == 200, answer
+    assert slowest < 5.0, slowest  # deadline_ms of the configuration
+    print(f"silent connections: slowest of 60 look-ups {slowest:.2f} s")
+
+
+def frozen_server(fleet):
+    """A server that hangs must not cost a look-up its answer."""
+    server = alive(fleet, "lookup")[-1]
+    server.freeze()
+    try:
+        for i in range(30):
+            answer = fleet.get(fleet.entry_names[i % 3], "/orders/1")
+            assert answer.status == 200, answer
+    finally:
+        server.thaw()
+
+
+def planned_stop_during_upload(fleet):
+    """A planned stop must not cut a request that is being sent."""
+    body = b"d" * 200000
+    head = (f"POST /drawings/55 HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
+            f"\r\nIdempotency-Key: stop-55\r\nConnection: close\r\nAuthorization: "
+            f"Bearer {fleet.keys['kim-trusses']}\r\n\r\n").encode()
+    host, port = fleet.callers["entry-2"].rsplit(":", 1)
+    process = fleet.processes["entry-2"]
+    with socket.create_connection((host, int(port)), timeout=15) as sock:
+        sock.sendall(head + body[:1000])
+        process.terminate()
+        fleetlib.wait_until("no longer named", lambda: "entry-2" not in [
+            i["name"] for i in fleetlib.request(
+                fleet.callers["entry-1"], "GET", "/v1/entry?client=10.2.0.1"
+            ).json()["instances"]], 5)
+        # Callers with an old look-up answer are still served.
+        assert fleet.get("entry-2", "/orders/1").status == 200
+        for i in range(10):
+            time.sleep(0.4)
+            sock.sendall(body[1000 + i * 19900:1000 + (i + 1) * 19900])
+        out = b""
+        while part := sock.recv(65536):
+            out += part
+    assert b" 200 " in out[:16] and b'"body_bytes":200000' in out, out[:300]
+    assert process.wait(20) == 0
+    fleet.start_instance("entry-2")
+    fleet.wait_ready("entry-2")
+
+
+def planned_stop_of_leader(fleet):
+    """A planned stop of the leading control instance cuts no request."""
+    leader = fleet.leader()
+    failures = []
+    done = threading.Event()
+
+    def load(entry):
+        while not done.is_set():
+            answer = fleet.get(entry, "/orders/1")
+            if answer.status != 200:
+                failures.append(answer)
+            time.sleep(0.01)
+    threads = [threading.Thread(target=load, args=(e,)) for e in fleet.entry_names]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.5)
+    fleet.processes[leader].terminate()
+    assert fleet.processes[leader].wait(10) == 0
+    time.sleep(2.5)
+    done.set()
+    for thread in threads:
+        thread.join()
+    fleet.start_instance(leader)
+    # A refusal at once with the time to come back is no cut request.
+    cut = [a for a in failures if a.status not in (429, 503)]
+    assert not cut, cut
+    print(f"planned stop of the leader: {len(failures)} look-ups refused")
+
+
+def main():
+    checks = fleetlib.Checks()
+    with fleetlib.Fleet(sys.argv[1]) as fleet:
+        fleet.start()
+        fleet.start_servers(6)
+        for case in (entry_killed_after_dispatch, restarted_server_same_address,
+                     silent_connections, frozen_server, leaving_server,
+                     planned_stop_during_upload, planned_stop_of_leader,
+                     crashing_commitment, crashing_lookup):
+            checks.run(case.__name__, case, fleet)
+        seen = sum(fleet.server_stats(s)["key_seen"] for s in fleet.servers
+                   if s.running())
+        checks.check("no backend server saw a key", seen == 0, seen)
+        if checks.failed:
+            fleet.print_logs()
+    checks.exit()
+
+
+if __name__ == "__main__":
+    main()
--- a/testserver/testserver.c
+++ b/testserver/testserver.c
@@ -41,6 +41,7 @@
 
 struct options {
 	const char *listen;
+	const char *advertise; /* default: the address listened on */
 	const char *upstream;
 	const char *zone;
 	const char *token;
@@ -514,6 +515,7 @@
 
 enum option_key {
 	OPT_LISTEN = 'l',
+	OPT_ADVERTISE = 'A',
 	OPT_UPSTREAM = 'u',
 	OPT_ZONE = 'z',
 	OPT_SLOTS = 's',
@@ -526,6 +528,8 @@
 
 static const struct argp_option argp_options[] = {
 	{ "listen", OPT_LISTEN, "IP:PORT", 0, "address of this server", 0 },
+	{ "advertise", OPT_ADVERTISE, "IP:PORT", 0,
+	  "address to announce, if another", 0 },
 	{ "upstream", OPT_UPSTREAM, "NAME", 0, "upstream that it serves", 0 },
 	{ "zone", OPT_ZONE, "NAME", 0, "availability zone", 0 },
 	{ "slots", OPT_SLOTS, "N", 0, "requests at a time, 1 to 1000", 0 },
@@ -573,6 +577,9 @@
 	case OPT_LISTEN:
 		options->listen = arg;
 		break;
+	case OPT_ADVERTISE:
+		options->advertise = arg;
+		break;
 	case OPT_UPSTREAM:
 		options->upstream = arg;
 		break;
@@ -649,7 +656,8 @@
 		goto out;
 	}
 	snprintf(server.address, sizeof(server.address), "%s",
-		 http_server_address(server.http));
+		 server.options.advertise ? server.options.advertise :
+					    http_server_address(server.http));
 	server.incarnation = clk_wall_ms(server.clk);
 	snprintf(server.authorization, sizeof(server.authorization),
 		 "Bearer %s", server.options.token);
