--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 PYTHON = /usr/bin/python3
 
 LIBS = libwebsockets libprotobuf-c libcjson yaml-0.1 libsodium zlib
-LDLIBS = -lwebsockets -lprotobuf-c -lcjson -lyaml -lsodium -lz -lhttp_parser -lm
+LDLIBS = -lwebsockets -lev -lprotobuf-c -lcjson -lyaml -lsodium -lz -lhttp_parser -lm
 WARN = -Wall -Wextra -Wstrict-prototypes -Wmissing-prototypes -Wshadow \
 	-Wpointer-arith -Wwrite-strings -Werror
 CPPFLAGS += -D_GNU_SOURCE -Ialmondward
--- /dev/null
+++ b/almondward/http_client.c
@@ -0,0 +1,382 @@
+#include "http_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* A longer run of 1xx responses to one request is taken as malformed. */
+#define INFORMATIONAL_MAX 16
+/* A body up to this size is sent together with the head. */
+#define JOIN_BYTES_MAX 65536
+
+enum client_state {
+	CLIENT_CONNECTING,
+	CLIENT_IDLE,
+	CLIENT_WAITING, /* the request is sent or being sent */
+	CLIENT_FAILED, /* the outcome is delivered by the timer */
+	CLIENT_DEAD /* no connection */
+};
+
+struct http_conn {
+	struct loop *loop;
+	char address[ADDRESS_BYTES_MAX];
+	struct loop_conn *loop_conn; /* NULL when closed */
+	struct loop_timer *timer;
+	enum client_state state;
+	bool busy; /* a call has no outcome yet */
+	struct http_call call;
+	struct buf head;
+	uint64_t sent_mark_bytes; /* sent on the connection before the call */
+	bool bytes_sent;
+	struct msg msg;
+	bool msg_open;
+	bool any_byte; /* of the final response */
+	uint32_t nr_informational;
+	enum http_result failure; /* in CLIENT_FAILED */
+	uint64_t idle_since_ms;
+};
+
+static void drop_connection(struct http_conn *conn)
+{
+	if (conn->loop_conn)
+		loop_conn_close(conn->loop_conn);
+	conn->loop_conn = NULL;
+	conn->state = CLIENT_DEAD;
+}
+
+static void note_sent(struct http_conn *conn)
+{
+	if (conn->loop_conn && conn->busy)
+		conn->bytes_sent |= loop_conn_sent_bytes(conn->loop_conn) >
+				    conn->sent_mark_bytes;
+}
+
+static void reset_msg(struct http_conn *conn)
+{
+	if (conn->msg_open)
+		msg_release(&conn->msg);
+	conn->msg_open = false;
+	conn->any_byte = false;
+}
+
+static void open_msg(struct http_conn *conn)
+{
+	reset_msg(conn);
+	msg_init(&conn->msg, HTTP_RESPONSE);
+	conn->msg.skip_body = !strcmp(conn->call.method, "HEAD");
+	conn->msg_open = true;
+}
+
+/*
+ * Delivers the outcome. conn may be destroyed or used again by the callback,
+ * so nothing of it is touched afterwards.
+ */
+static void finish(struct http_conn *conn, struct http_outcome *outcome)
+{
+	http_done_fn done = conn->call.done;
+	void *arg = conn->call.arg;
+	struct msg msg = conn->msg;
+	bool msg_open = conn->msg_open;
+
+	conn->msg_open = false;
+	conn->busy = false;
+	loop_timer_cancel(conn->timer);
+	buf_clear(&conn->head);
+	done(arg, conn, outcome);
+	if (msg_open)
+		msg_release(&msg);
+}
+
+static void fail(struct http_conn *conn, enum http_result result)
+{
+	struct http_outcome outcome = { .result = result };
+
+	note_sent(conn);
+	outcome.bytes_sent = conn->bytes_sent;
+	drop_connection(conn);
+	finish(conn, &outcome);
+}
+
+/*
+ * Like fail(), but not from within the current call.
+ */
+static void fail_later(struct http_conn *conn, enum http_result result)
+{
+	note_sent(conn);
+	drop_connection(conn);
+	conn->state = CLIENT_FAILED;
+	conn->failure = result;
+	loop_timer_set(conn->timer, 0);
+}
+
+static void succeed(struct http_conn *conn, bool more_bytes)
+{
+	struct http_outcome outcome = { .result = HTTP_OK };
+	struct http_response *response = &outcome.response;
+
+	note_sent(conn);
+	outcome.bytes_sent = conn->bytes_sent;
+	response->status = conn->msg.parser.status_code;
+	response->headers = conn->msg.headers;
+	response->nr_headers = conn->msg.nr_headers;
+	response->body = conn->msg.body;
+	response->body_bytes = conn->msg.body_bytes;
+	conn->idle_since_ms = clk_now_ms(loop_clock(conn->loop));
+	conn->state = CLIENT_IDLE;
+	/* A response before the end of the request leaves a request cut off. */
+	if (more_bytes || !http_should_keep_alive(&conn->msg.parser) ||
+	    loop_conn_queued_bytes(conn->loop_conn))
+		drop_connection(conn);
+	finish(conn, &outcome);
+}
+
+/* ---- request ---- */
+
+static bool build_head(struct http_conn *conn)
+{
+	const struct http_call *call = &conn->call;
+	bool has_length = call->body_bytes ||
+			  (strcmp(call->method, "GET") != 0 &&
+			   strcmp(call->method, "HEAD") != 0);
+
+	buf_clear(&conn->head);
+	if (buf_printf(&conn->head, "%s %s HTTP/1.1\r\n", call->method,
+		       call->target) ||
+	    http_append_headers(&conn->head, call->headers, call->nr_headers))
+		return false;
+	if (!http_header_value(call->headers, call->nr_headers, "Host") &&
+	    buf_printf(&conn->head, "Host: %s\r\n", conn->address))
+		return false;
+	if (has_length && buf_printf(&conn->head, "Content-Length: %zu\r\n",
+				     call->body_bytes))
+		return false;
+	return !buf_append_str(&conn->head, "\r\n");
+}
+
+static enum loop_error send_bytes(struct http_conn *conn)
+{
+	const struct http_call *call = &conn->call;
+	enum loop_error err;
+
+	if (call->body_bytes <= JOIN_BYTES_MAX) {
+		if (buf_append(&conn->head, call->body, call->body_bytes))
+			return LOOP_ERR_MEMORY;
+		return loop_conn_send(conn->loop_conn, conn->head.data,
+				      conn->head.len_bytes);
+	}
+	err = loop_conn_send(conn->loop_conn, conn->head.data,
+			     conn->head.len_bytes);
+	if (err)
+		return err;
+	return loop_conn_send(conn->loop_conn, call->body, call->body_bytes);
+}
+
+/*
+ * Returns the failure, or HTTP_OK when at least one byte is handed to the
+ * system.
+ */
+static enum http_result send_request(struct http_conn *conn)
+{
+	enum loop_error err;
+
+	conn->sent_mark_bytes = loop_conn_sent_bytes(conn->loop_conn);
+	if (conn->call.may_send && !conn->call.may_send(conn->call.arg))
+		return HTTP_CLOSED;
+	conn->state = CLIENT_WAITING;
+	open_msg(conn);
+	err = send_bytes(conn);
+	note_sent(conn);
+	if (err == LOOP_ERR_MEMORY)
+		return HTTP_MEMORY;
+	/*
+	 * Bytes that are only queued would leave after may_send was asked. An
+	 * idle connection takes some, unless it is broken.
+	 */
+	return conn->bytes_sent ? HTTP_OK : HTTP_CLOSED;
+}
+
+enum loop_error http_conn_call(struct http_conn *conn,
+			       const struct http_call *call)
+{
+	enum http_result result;
+
+	if (conn->busy || conn->state == CLIENT_DEAD)
+		return LOOP_ERR_CLOSED;
+	conn->call = *call;
+	if (!build_head(conn))
+		return LOOP_ERR_MEMORY;
+	conn->busy = true;
+	conn->bytes_sent = false;
+	conn->nr_informational = 0;
+	loop_timer_set(conn->timer, call->timeout_ms);
+	if (conn->state == CLIENT_CONNECTING)
+		return LOOP_OK;
+	result = send_request(conn);
+	if (result)
+		fail_later(conn, result);
+	return LOOP_OK;
+}
+
+/* ---- response ---- */
+
+static enum http_result result_of(enum msg_status status)
+{
+	switch (status) {
+	case MSG_ERR_BODY_TOO_LARGE:
+		return HTTP_TOO_LARGE;
+	case MSG_ERR_BODY_MEMORY:
+	case MSG_ERR_MEMORY:
+		return HTTP_MEMORY;
+	default:
+		return HTTP_MALFORMED;
+	}
+}
+
+static enum msg_status check_head(struct http_conn *conn)
+{
+	uint32_t status = conn->msg.parser.status_code;
+
+	if (status < 100 || status > 599 || status == 101)
+		return MSG_ERR_MALFORMED;
+	if (status < 200 && ++conn->nr_informational > INFORMATIONAL_MAX)
+		return MSG_ERR_MALFORMED;
+	return msg_begin_body(&conn->msg, conn->call.answer_max_bytes);
+}
+
+static void take_response(struct http_conn *conn, const uint8_t *data,
+			  size_t len_bytes)
+{
+	enum msg_status status = MSG_MORE;
+	size_t used_bytes;
+
+	while (status == MSG_MORE && len_bytes) {
+		conn->any_byte = true;
+		status = msg_feed(&conn->msg, data, len_bytes, &used_bytes);
+		data += used_bytes;
+		len_bytes -= used_bytes;
+		if (status == MSG_HEAD)
+			status = check_head(conn);
+		if (status == MSG_MORE && conn->msg.complete)
+			status = MSG_DONE;
+		if (status == MSG_DONE && conn->msg.parser.status_code < 200) {
+			open_msg(conn);
+			status = MSG_MORE;
+		}
+	}
+	if (status == MSG_DONE)
+		succeed(conn, len_bytes > 0);
+	else if (status != MSG_MORE)
+		fail(conn, result_of(status));
+}
+
+/* ---- events ---- */
+
+static void on_opened(void *arg, struct loop_conn *loop_conn)
+{
+	struct http_conn *conn = arg;
+	enum http_result result;
+
+	(void)loop_conn;
+	conn->state = CLIENT_IDLE;
+	conn->idle_since_ms = clk_now_ms(loop_clock(conn->loop));
+	if (!conn->busy)
+		return;
+	result = send_request(conn);
+	if (result)
+		fail(conn, result);
+}
+
+static void on_data(void *arg, struct loop_conn *loop_conn, const uint8_t *data,
+		    size_t len_bytes)
+{
+	struct http_conn *conn = arg;
+
+	(void)loop_conn;
+	if (conn->state == CLIENT_WAITING)
+		take_response(conn, data, len_bytes);
+	else /* nobody asked for these bytes */
+		drop_connection(conn);
+}
+
+static void on_closed(void *arg, struct loop_conn *loop_conn,
+		      enum loop_close reason)
+{
+	struct http_conn *conn = arg;
+	enum http_result result = HTTP_CLOSED;
+
+	(void)loop_conn;
+	note_sent(conn);
+	conn->loop_conn = NULL;
+	conn->state = CLIENT_DEAD;
+	if (!conn->busy)
+		return;
+	if (reason == LOOP_CLOSE_CONNECT_FAILED)
+		result = HTTP_CONNECT_FAILED;
+	else if (conn->any_byte)
+		result = HTTP_CUT;
+	fail(conn, result);
+}
+
+static const struct loop_conn_ops conn_ops = {
+	.opened = on_opened,
+	.data = on_data,
+	.closed = on_closed,
+};
+
+static void on_timer(void *arg)
+{
+	struct http_conn *conn = arg;
+
+	if (!conn->busy)
+		return;
+	fail(conn, conn->state == CLIENT_FAILED ? conn->failure : HTTP_TIMEOUT);
+}
+
+enum loop_error http_conn_create(struct loop *loop, const char *address,
+				 uint32_t connect_timeout_ms,
+				 struct http_conn **conn)
+{
+	struct http_conn *new = calloc(1, sizeof(*new));
+	enum loop_error err = LOOP_ERR_MEMORY;
+
+	if (!new)
+		return LOOP_ERR_MEMORY;
+	new->loop = loop;
+	snprintf(new->address, sizeof(new->address), "%s", address);
+	new->timer = loop_timer_create(loop, on_timer, new);
+	if (!new->timer)
+		goto fail;
+	err = loop_connect(loop, address, connect_timeout_ms, &conn_ops, new,
+			   &new->loop_conn);
+	if (err)
+		goto fail;
+	*conn = new;
+	return LOOP_OK;
+
+fail:
+	loop_timer_destroy(new->timer);
+	free(new);
+	return err;
+}
+
+void http_conn_destroy(struct http_conn *conn)
+{
+	if (!conn)
+		return;
+	drop_connection(conn);
+	reset_msg(conn);
+	buf_release(&conn->head);
+	loop_timer_destroy(conn->timer);
+	free(conn);
+}
+
+bool http_conn_reusable(const struct http_conn *conn)
+{
+	return conn->state == CLIENT_IDLE && !conn->busy;
+}
+
+uint64_t http_conn_idle_since_ms(const struct http_conn *conn)
+{
+	return conn->idle_since_ms;
+}
--- /dev/null
+++ b/almondward/http_server.c
@@ -0,0 +1,707 @@
+#include "http_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <utlist.h>
+
+/* Pipelined bytes that wait for the response before them. */
+#define PIPELINE_BYTES_MAX 65536
+/*
+ * While draining, a connection that stays idle for this time is closed. A
+ * request that is already under way when draining starts is still served.
+ */
+#define DRAIN_IDLE_MS 1000
+/* Suggested to callers that are refused for lack of resources. */
+#define RETRY_AFTER_MS 1000
+
+enum server_state {
+	SERVER_IDLE, /* between requests */
+	SERVER_HEAD,
+	SERVER_BODY,
+	SERVER_RUNNING, /* the handler has the request */
+	SERVER_WRITING /* the response is not yet handed to the system */
+};
+
+struct http_exchange {
+	struct http_server *server;
+	struct server_conn *conn; /* NULL when the connection is gone */
+	struct msg msg;
+	struct http_request req;
+	bool dispatched;
+	void (*abort)(void *arg);
+	void *abort_arg;
+	struct http_exchange *prev, *next;
+};
+
+struct server_conn {
+	struct http_server *server;
+	struct loop_conn *loop_conn;
+	struct loop_timer *timer;
+	enum server_state state;
+	struct http_exchange *exchange;
+	struct buf pipelined;
+	size_t queued_bytes; /* at the last look for progress */
+	bool close; /* after the response */
+	bool resume; /* pipelined bytes are to be processed */
+	bool processing;
+	bool dead;
+	struct server_conn *prev, *next;
+};
+
+struct http_server {
+	struct loop *loop;
+	struct http_server_settings settings;
+	char address[ADDRESS_BYTES_MAX];
+	http_handler_fn handler;
+	void *arg;
+	struct loop_listener *listener;
+	struct server_conn *conns;
+	struct http_exchange *exchanges;
+	size_t nr_conns;
+	size_t nr_active;
+	uint64_t body_memory_bytes;
+	bool draining;
+	struct ctr *requests;
+	struct ctr *aborts;
+	struct ctr *connections;
+};
+
+static void count_refusal(struct http_server *server, enum refusal refusal)
+{
+	if (server->settings.counters)
+		ctr_add(ctr_get(server->settings.counters, "http_refusals",
+				refusal_name(refusal)),
+			1);
+}
+
+/* ---- exchanges ---- */
+
+static bool reserve_body(void *arg, size_t bytes)
+{
+	struct http_server *server = arg;
+	uint64_t max_bytes = server->settings.body_memory_bytes;
+
+	if (max_bytes && (server->body_memory_bytes > max_bytes ||
+			  bytes > max_bytes - server->body_memory_bytes))
+		return false;
+	server->body_memory_bytes += bytes;
+	return true;
+}
+
+static struct http_exchange *exchange_create(struct server_conn *conn)
+{
+	struct http_server *server = conn->server;
+	struct http_exchange *exchange = calloc(1, sizeof(*exchange));
+
+	if (!exchange)
+		return NULL;
+	exchange->server = server;
+	exchange->conn = conn;
+	msg_init(&exchange->msg, HTTP_REQUEST);
+	exchange->msg.reserve = reserve_body;
+	exchange->msg.reserve_arg = server;
+	DL_APPEND(server->exchanges, exchange);
+	conn->exchange = exchange;
+	return exchange;
+}
+
+static void exchange_free(struct http_exchange *exchange)
+{
+	struct http_server *server = exchange->server;
+
+	if (exchange->conn)
+		exchange->conn->exchange = NULL;
+	if (exchange->dispatched)
+		server->nr_active--;
+	server->body_memory_bytes -= exchange->msg.reserved_bytes;
+	DL_DELETE(server->exchanges, exchange);
+	msg_release(&exchange->msg);
+	free(exchange);
+}
+
+static void exchange_abort(struct http_exchange *exchange)
+{
+	exchange->conn = NULL;
+	if (!exchange->dispatched) {
+		exchange_free(exchange);
+		return;
+	}
+	ctr_add(exchange->server->aborts, 1);
+	/* Without a callback the handler still holds it until it responds. */
+	if (!exchange->abort)
+		return;
+	/* Unlinked first: the callback may destroy the server. */
+	exchange->server->nr_active--;
+	exchange->server->body_memory_bytes -= exchange->msg.reserved_bytes;
+	DL_DELETE(exchange->server->exchanges, exchange);
+	exchange->abort(exchange->abort_arg);
+	msg_release(&exchange->msg);
+	free(exchange);
+}
+
+void http_exchange_on_abort(struct http_exchange *exchange,
+			    void (*fn)(void *arg), void *arg)
+{
+	exchange->abort = fn;
+	exchange->abort_arg = arg;
+}
+
+/* ---- connections ---- */
+
+static void conn_unlink(struct server_conn *conn)
+{
+	struct http_server *server = conn->server;
+
+	conn->dead = true;
+	loop_timer_destroy(conn->timer);
+	DL_DELETE(server->conns, conn);
+	server->nr_conns--;
+	ctr_set_value(server->connections, server->nr_conns);
+}
+
+static void conn_free(struct server_conn *conn)
+{
+	buf_release(&conn->pipelined);
+	free(conn);
+}
+
+/*
+ * The loop's connection is closed or handed back already. The abort callback
+ * may destroy the server.
+ */
+static void conn_end(struct server_conn *conn)
+{
+	struct http_exchange *exchange = conn->exchange;
+	bool processing = conn->processing;
+
+	conn_unlink(conn);
+	conn->exchange = NULL;
+	if (exchange)
+		exchange_abort(exchange);
+	if (!processing)
+		conn_free(conn);
+}
+
+static void conn_close(struct server_conn *conn)
+{
+	loop_conn_close(conn->loop_conn);
+	conn_end(conn);
+}
+
+static void conn_close_after_send(struct server_conn *conn)
+{
+	loop_conn_close_after_send(conn->loop_conn);
+	conn_end(conn);
+}
+
+static void set_timer(struct server_conn *conn, uint32_t delay_ms)
+{
+	if (delay_ms)
+		loop_timer_set(conn->timer, delay_ms);
+	else
+		loop_timer_cancel(conn->timer);
+}
+
+static void enter_idle(struct server_conn *conn)
+{
+	const struct http_server *server = conn->server;
+	uint32_t idle_ms = server->settings.idle_timeout_ms;
+
+	conn->state = SERVER_IDLE;
+	if (server->draining && (!idle_ms || idle_ms > DRAIN_IDLE_MS))
+		idle_ms = DRAIN_IDLE_MS;
+	set_timer(conn, idle_ms);
+}
+
+/* ---- responses ---- */
+
+/*
+ * Returns false when the connection cannot take the response.
+ */
+static bool send_response(struct server_conn *conn,
+			  const struct http_response *response, bool head_only)
+{
+	uint32_t status = response->status;
+	bool has_body = !head_only && status != 204 && status != 304 &&
+			response->body_bytes;
+	struct buf out = BUF_INIT;
+	enum loop_error err = LOOP_ERR_MEMORY;
+
+	if (http_append_head(&out, response, head_only, conn->close) &&
+	    (!has_body ||
+	     !buf_append(&out, response->body, response->body_bytes)))
+		err = loop_conn_send(conn->loop_conn, out.data, out.len_bytes);
+	buf_release(&out);
+	return err == LOOP_OK;
+}
+
+/*
+ * What follows once the response is handed to the system.
+ */
+static void response_sent(struct server_conn *conn)
+{
+	enter_idle(conn);
+	if (conn->processing || !conn->pipelined.len_bytes)
+		return;
+	/* Not now: the caller may be in the middle of http_respond(). */
+	conn->resume = true;
+	loop_timer_set(conn->timer, 0);
+}
+
+static void respond(struct server_conn *conn,
+		    const struct http_response *response, bool head_only)
+{
+	if (!send_response(conn, response, head_only)) {
+		conn_close(conn);
+		return;
+	}
+	if (conn->close) {
+		conn_close_after_send(conn);
+		return;
+	}
+	conn->queued_bytes = loop_conn_queued_bytes(conn->loop_conn);
+	if (!conn->queued_bytes) {
+		response_sent(conn);
+		return;
+	}
+	conn->state = SERVER_WRITING;
+	set_timer(conn, conn->server->settings.body_timeout_ms);
+}
+
+void http_respond(struct http_exchange *exchange,
+		  const struct http_response *response)
+{
+	struct server_conn *conn = exchange->conn;
+	bool head_only = exchange->msg.parser.method == HTTP_HEAD;
+
+	if (conn && conn->server->draining)
+		conn->close = true;
+	/* The response may refer to the request: it is freed at the end. */
+	if (conn) {
+		conn->exchange = NULL;
+		exchange->conn = NULL;
+		respond(conn, response, head_only);
+	}
+	exchange_free(exchange);
+}
+
+void http_respond_refusal(struct http_exchange *exchange, enum refusal refusal,
+			  const char *detail, const char *request_id,
+			  bool not_run, uint32_t retry_after_ms)
+{
+	struct http_refusal r;
+
+	http_build_refusal(&r, refusal, detail, request_id, not_run,
+			   retry_after_ms);
+	http_respond(exchange, &r.response);
+	free(r.json);
+}
+
+/*
+ * Refuses what the handler never sees, and closes: what follows on the
+ * connection cannot be told apart from the rest of the refused request.
+ */
+static void refuse(struct server_conn *conn, enum refusal refusal,
+		   const char *detail)
+{
+	struct http_refusal r;
+	bool head_only = conn->exchange && conn->exchange->msg.head_done &&
+			 conn->exchange->msg.parser.method == HTTP_HEAD;
+
+	count_refusal(conn->server, refusal);
+	conn->close = true;
+	http_build_refusal(&r, refusal, detail, NULL, true,
+			   refusal_status(refusal) == 503 ? RETRY_AFTER_MS : 0);
+	respond(conn, &r.response, head_only);
+	free(r.json);
+}
+
+/* ---- requests ---- */
+
+static bool target_ok(const struct msg *msg)
+{
+	size_t i;
+
+	if (!msg->target || msg->target[0] != '/')
+		return false;
+	for (i = 0; i < msg->target_bytes; i++) {
+		uint8_t byte = (uint8_t)msg->target[i];
+
+		if (byte <= ' ' || byte >= 0x7f || byte == '#')
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Returns the cause for which the head is refused as a bad request, or NULL.
+ */
+static const char *head_fault(const struct msg *msg)
+{
+	size_t hosts = msg_count_headers(msg, "Host");
+
+	if (!target_ok(msg))
+		return "target is not in origin form";
+	if (hosts > 1)
+		return "duplicate Host";
+	if (!hosts && msg->parser.http_minor == 1)
+		return "Host is missing";
+	if (msg_count_headers(msg, "Authorization") > 1)
+		return "duplicate Authorization";
+	return NULL;
+}
+
+static void fill_request(struct server_conn *conn)
+{
+	struct http_request *req = &conn->exchange->req;
+	const struct msg *msg = &conn->exchange->msg;
+
+	req->method = http_method_str((enum http_method)msg->parser.method);
+	req->target = msg->target;
+	req->headers = msg->headers;
+	req->nr_headers = msg->nr_headers;
+	req->peer = loop_conn_peer(conn->loop_conn);
+	req->head_ms = clk_now_ms(loop_clock(conn->server->loop));
+}
+
+/*
+ * Returns false when the request was refused.
+ */
+static bool head_complete(struct server_conn *conn, bool more_bytes)
+{
+	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	struct msg *msg = &conn->exchange->msg;
+	const char *fault = head_fault(msg), *expect;
+	enum msg_status status;
+
+	if (fault) {
+		refuse(conn, REFUSAL_BAD_REQUEST, fault);
+		return false;
+	}
+	expect = http_header_value(msg->headers, msg->nr_headers, "Expect");
+	if (expect && (strcasecmp(expect, "100-continue") != 0 ||
+		       msg_count_headers(msg, "Expect") > 1)) {
+		refuse(conn, REFUSAL_EXPECTATION, "unknown expectation");
+		return false;
+	}
+	status = msg_begin_body(msg, conn->server->settings.body_max_bytes);
+	if (status == MSG_ERR_BODY_TOO_LARGE) {
+		refuse(conn, REFUSAL_BODY_TOO_LARGE, "body is too large");
+		return false;
+	}
+	if (status != MSG_MORE) {
+		refuse(conn, REFUSAL_MEMORY, "no memory for the body");
+		return false;
+	}
+	conn->close |= msg->parser.http_minor == 0 ||
+		       !http_should_keep_alive(&msg->parser);
+	fill_request(conn);
+	if (expect && msg_has_body(msg) && !more_bytes &&
+	    msg->parser.http_minor == 1)
+		loop_conn_send(conn->loop_conn, go_on, sizeof(go_on) - 1);
+	conn->state = SERVER_BODY;
+	set_timer(conn, conn->server->settings.body_timeout_ms);
+	return true;
+}
+
+static void dispatch(struct server_conn *conn)
+{
+	struct http_exchange *exchange = conn->exchange;
+	struct http_server *server = conn->server;
+
+	exchange->req.body = exchange->msg.body;
+	exchange->req.body_bytes = exchange->msg.body_bytes;
+	exchange->dispatched = true;
+	server->nr_active++;
+	ctr_add(server->requests, 1);
+	conn->state = SERVER_RUNNING;
+	loop_timer_cancel(conn->timer);
+	server->handler(server->arg, exchange, &exchange->req);
+}
+
+static void refuse_status(struct server_conn *conn, enum msg_status status)
+{
+	switch (status) {
+	case MSG_ERR_HEAD_TOO_LARGE:
+		refuse(conn, REFUSAL_HEAD_TOO_LARGE, "head is too large");
+		return;
+	case MSG_ERR_BODY_TOO_LARGE:
+		refuse(conn, REFUSAL_BODY_TOO_LARGE, "body is too large");
+		return;
+	case MSG_ERR_BODY_MEMORY:
+	case MSG_ERR_MEMORY:
+		refuse(conn, REFUSAL_MEMORY, "no memory for the request");
+		return;
+	default:
+		refuse(conn, REFUSAL_BAD_REQUEST, "malformed request");
+		return;
+	}
+}
+
+/*
+ * Takes bytes for the current request. Returns the number used.
+ */
+static size_t take(struct server_conn *conn, const uint8_t *data,
+		   size_t len_bytes)
+{
+	enum msg_status status;
+	size_t used_bytes, rest_bytes;
+
+	if (!conn->exchange && !exchange_create(conn)) {
+		refuse(conn, REFUSAL_MEMORY, "no memory for the request");
+		return len_bytes;
+	}
+	if (conn->state == SERVER_IDLE) {
+		conn->state = SERVER_HEAD;
+		set_timer(conn, conn->server->settings.head_timeout_ms);
+	}
+	status = msg_feed(&conn->exchange->msg, data, len_bytes, &used_bytes);
+	if (status == MSG_HEAD) {
+		if (!head_complete(conn, used_bytes < len_bytes))
+			return len_bytes;
+		status = msg_feed(&conn->exchange->msg, data + used_bytes,
+				  len_bytes - used_bytes, &rest_bytes);
+		used_bytes += rest_bytes;
+	} else if (conn->state == SERVER_BODY) {
+		set_timer(conn, conn->server->settings.body_timeout_ms);
+	}
+	if (status == MSG_DONE)
+		dispatch(conn);
+	else if (status != MSG_MORE)
+		refuse_status(conn, status);
+	return used_bytes;
+}
+
+/*
+ * Processes requests until one waits for its response; keeps the rest.
+ */
+static void process(struct server_conn *conn, const uint8_t *data,
+		    size_t len_bytes)
+{
+	size_t used_bytes = 0;
+
+	conn->processing = true;
+	while (!conn->dead && used_bytes < len_bytes &&
+	       conn->state != SERVER_RUNNING && conn->state != SERVER_WRITING)
+		used_bytes +=
+			take(conn, data + used_bytes, len_bytes - used_bytes);
+	conn->processing = false;
+	if (conn->dead) {
+		conn_free(conn);
+		return;
+	}
+	if (used_bytes < len_bytes &&
+	    buf_append(&conn->pipelined, data + used_bytes,
+		       len_bytes - used_bytes))
+		conn_close(conn);
+	else
+		loop_conn_pause(conn->loop_conn,
+				conn->pipelined.len_bytes > PIPELINE_BYTES_MAX);
+}
+
+static void process_pipelined(struct server_conn *conn)
+{
+	struct buf bytes = conn->pipelined;
+
+	memset(&conn->pipelined, 0, sizeof(conn->pipelined));
+	process(conn, bytes.data, bytes.len_bytes);
+	buf_release(&bytes);
+}
+
+/* ---- events ---- */
+
+static void on_data(void *arg, struct loop_conn *loop_conn, const uint8_t *data,
+		    size_t len_bytes)
+{
+	struct server_conn *conn = arg;
+
+	(void)loop_conn;
+	if (conn->state != SERVER_RUNNING && conn->state != SERVER_WRITING &&
+	    !conn->pipelined.len_bytes) {
+		process(conn, data, len_bytes);
+		return;
+	}
+	if (buf_append(&conn->pipelined, data, len_bytes)) {
+		conn_close(conn);
+		return;
+	}
+	loop_conn_pause(conn->loop_conn,
+			conn->pipelined.len_bytes > PIPELINE_BYTES_MAX);
+}
+
+static void on_drained(void *arg, struct loop_conn *loop_conn)
+{
+	struct server_conn *conn = arg;
+
+	(void)loop_conn;
+	if (conn->state == SERVER_WRITING)
+		response_sent(conn);
+}
+
+static void on_closed(void *arg, struct loop_conn *loop_conn,
+		      enum loop_close reason)
+{
+	(void)loop_conn;
+	(void)reason;
+	conn_end(arg);
+}
+
+static const struct loop_conn_ops conn_ops = {
+	.data = on_data,
+	.drained = on_drained,
+	.closed = on_closed,
+};
+
+static void on_timer(void *arg)
+{
+	struct server_conn *conn = arg;
+	size_t queued_bytes;
+
+	if (conn->resume) {
+		conn->resume = false;
+		enter_idle(conn);
+		process_pipelined(conn);
+		return;
+	}
+	switch (conn->state) {
+	case SERVER_HEAD:
+		refuse(conn, REFUSAL_BAD_REQUEST, "head came too slowly");
+		return;
+	case SERVER_BODY:
+		refuse(conn, REFUSAL_BAD_REQUEST, "body came too slowly");
+		return;
+	case SERVER_WRITING:
+		queued_bytes = loop_conn_queued_bytes(conn->loop_conn);
+		if (queued_bytes < conn->queued_bytes) {
+			conn->queued_bytes = queued_bytes;
+			set_timer(conn, conn->server->settings.body_timeout_ms);
+			return;
+		}
+		conn_close(conn);
+		return;
+	case SERVER_RUNNING:
+		return;
+	case SERVER_IDLE:
+		conn_close(conn);
+		return;
+	}
+}
+
+static void on_accept(void *arg, struct loop_conn *loop_conn)
+{
+	struct http_server *server = arg;
+	struct server_conn *conn = calloc(1, sizeof(*conn));
+
+	if (!conn) {
+		loop_conn_close(loop_conn);
+		return;
+	}
+	conn->server = server;
+	conn->loop_conn = loop_conn;
+	conn->timer = loop_timer_create(server->loop, on_timer, conn);
+	if (!conn->timer) {
+		free(conn);
+		loop_conn_close(loop_conn);
+		return;
+	}
+	loop_conn_set_ops(loop_conn, &conn_ops, conn);
+	DL_APPEND(server->conns, conn);
+	server->nr_conns++;
+	ctr_set_value(server->connections, server->nr_conns);
+	enter_idle(conn);
+	if (server->settings.connections_max &&
+	    server->nr_conns > server->settings.connections_max)
+		refuse(conn, REFUSAL_MEMORY, "too many connections");
+}
+
+/* ---- server ---- */
+
+enum loop_error http_server_create(struct loop *loop,
+				   const struct http_server_settings *settings,
+				   http_handler_fn handler, void *arg,
+				   struct http_server **server)
+{
+	struct http_server *new = calloc(1, sizeof(*new));
+	enum loop_error err;
+
+	if (!new)
+		return LOOP_ERR_MEMORY;
+	new->loop = loop;
+	new->settings = *settings;
+	new->handler = handler;
+	new->arg = arg;
+	err = loop_listen(loop, settings->address, on_accept, new,
+			  &new->listener);
+	if (err) {
+		free(new);
+		return err;
+	}
+	snprintf(new->address, sizeof(new->address), "%s",
+		 loop_listener_address(new->listener));
+	new->settings.address = new->address;
+	if (settings->counters) {
+		new->requests = ctr_get(settings->counters, "http_requests",
+					new->address);
+		new->aborts = ctr_get(settings->counters, "http_aborts",
+				      new->address);
+		new->connections = ctr_get(settings->counters,
+					   "http_connections", new->address);
+	}
+	*server = new;
+	return LOOP_OK;
+}
+
+/*
+ * Every exchange becomes invalid; abort callbacks are not called.
+ */
+void http_server_destroy(struct http_server *server)
+{
+	if (!server)
+		return;
+	/* Connections that are accepted while it closes are closed below. */
+	loop_listener_destroy(server->listener);
+	while (server->exchanges)
+		exchange_free(server->exchanges);
+	while (server->conns)
+		conn_close(server->conns);
+	free(server);
+}
+
+const char *http_server_address(const struct http_server *server)
+{
+	return server->address;
+}
+
+void http_server_drain(struct http_server *server, bool stop_listening)
+{
+	struct server_conn *conn;
+
+	server->draining = true;
+	if (stop_listening) {
+		loop_listener_destroy(server->listener);
+		server->listener = NULL;
+	}
+	DL_FOREACH(server->conns, conn)
+	{
+		if (conn->state == SERVER_IDLE && !conn->resume)
+			enter_idle(conn);
+	}
+}
+
+void http_server_set_body_max(struct http_server *server, size_t bytes)
+{
+	server->settings.body_max_bytes = bytes;
+}
+
+size_t http_server_active(const struct http_server *server)
+{
+	return server->nr_active;
+}
+
+size_t http_server_connections(const struct http_server *server)
+{
+	return server->nr_conns;
+}
--- /dev/null
+++ b/almondward/loop.c
@@ -0,0 +1,277 @@
+#include "loop_private.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netdb.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+/* One read hands on at most so much. */
+#define RECEIVE_BYTES 32768
+
+static const struct lws_protocols protocols[] = {
+	{ .name = "almondward", .callback = loop_lws_callback },
+	{ .name = NULL },
+};
+
+static void on_lws_log(int level, const char *line)
+{
+	size_t len = strcspn(line, "\n");
+
+	if (level == LLL_ERR)
+		log_warn(LOOP_PART, "libwebsockets: %.*s", (int)len, line);
+	else
+		log_debug(LOOP_PART, "libwebsockets: %.*s", (int)len, line);
+}
+
+struct loop *loop_create(struct clk *clk)
+{
+	struct lws_context_creation_info info;
+	struct loop *loop = calloc(1, sizeof(*loop));
+	void *foreign[1];
+
+	if (!loop)
+		return NULL;
+	loop->clk = clk;
+	loop->ev = ev_loop_new(EVFLAG_AUTO);
+	if (!loop->ev) {
+		log_error(LOOP_PART, "cannot create an event loop: %s",
+			  strerror(errno));
+		goto fail;
+	}
+	lws_set_log_level(LLL_ERR | LLL_WARN, on_lws_log);
+	memset(&info, 0, sizeof(info));
+	foreign[0] = loop->ev;
+	info.foreign_loops = foreign;
+	info.port = CONTEXT_PORT_NO_LISTEN;
+	info.protocols = protocols;
+	info.gid = -1;
+	info.uid = -1;
+	info.pt_serv_buf_size = RECEIVE_BYTES;
+	info.options = LWS_SERVER_OPTION_LIBEV | LWS_SERVER_OPTION_DISABLE_IPV6;
+	loop->lws = lws_create_context(&info);
+	if (!loop->lws) {
+		log_error(LOOP_PART, "cannot create a libwebsockets context; "
+				     "is its libev plugin installed?");
+		goto fail;
+	}
+	/* A peer that closes must not end the process. */
+	signal(SIGPIPE, SIG_IGN);
+	return loop;
+
+fail:
+	if (loop->ev)
+		ev_loop_destroy(loop->ev);
+	free(loop);
+	return NULL;
+}
+
+void loop_destroy(struct loop *loop)
+{
+	if (!loop)
+		return;
+	loop->destroying = true;
+	while (loop->listeners)
+		loop_listener_destroy(loop->listeners);
+	loop_conn_free_all(loop);
+	if (loop->signals) {
+		ev_signal_stop(loop->ev, &loop->sigterm);
+		ev_signal_stop(loop->ev, &loop->sigint);
+	}
+	lws_context_destroy(loop->lws);
+	ev_loop_destroy(loop->ev);
+	free(loop);
+}
+
+void loop_run(struct loop *loop)
+{
+	loop->stopped = false;
+	while (!loop->stopped)
+		ev_run(loop->ev, EVRUN_ONCE);
+}
+
+void loop_stop(struct loop *loop)
+{
+	loop->stopped = true;
+	ev_break(loop->ev, EVBREAK_ALL);
+}
+
+struct clk *loop_clock(struct loop *loop)
+{
+	return loop->clk;
+}
+
+static void on_signal(struct ev_loop *ev, ev_signal *watcher, int revents)
+{
+	struct loop *loop = watcher->data;
+
+	(void)ev;
+	(void)revents;
+	loop->stop_fn(loop->stop_arg);
+}
+
+enum loop_error loop_on_stop_signal(struct loop *loop, void (*fn)(void *arg),
+				    void *arg)
+{
+	loop->stop_fn = fn;
+	loop->stop_arg = arg;
+	if (loop->signals)
+		return LOOP_OK;
+	ev_signal_init(&loop->sigterm, on_signal, SIGTERM);
+	ev_signal_init(&loop->sigint, on_signal, SIGINT);
+	loop->sigterm.data = loop;
+	loop->sigint.data = loop;
+	ev_signal_start(loop->ev, &loop->sigterm);
+	ev_signal_start(loop->ev, &loop->sigint);
+	loop->signals = true;
+	return LOOP_OK;
+}
+
+/* ---- timers ---- */
+
+/*
+ * Timers are those of libev. A timer of libwebsockets (lws_sul) that is set
+ * outside of its callbacks does not wake a foreign libev loop: tests hung until
+ * some socket became ready. Its list also takes a walk for each insertion.
+ */
+static void arm(struct loop_timer *timer, int64_t now_us)
+{
+	struct ev_loop *ev = timer->loop->ev;
+	int64_t delay_us = timer->due_us > now_us ? timer->due_us - now_us : 0;
+
+	timer->armed_us = timer->due_us;
+	ev_timer_stop(ev, &timer->watcher);
+	ev_timer_set(&timer->watcher, (double)delay_us / 1e6, 0);
+	ev_timer_start(ev, &timer->watcher);
+}
+
+static void on_timer(struct ev_loop *ev, ev_timer *watcher, int revents)
+{
+	struct loop_timer *timer = watcher->data;
+	int64_t now_us = lws_now_usecs();
+
+	(void)ev;
+	(void)revents;
+	timer->armed_us = 0;
+	if (!timer->due_us)
+		return;
+	/* Moved to a later time, or libev's time at the start was old. */
+	if (timer->due_us > now_us) {
+		arm(timer, now_us);
+		return;
+	}
+	timer->due_us = 0;
+	timer->fn(timer->arg);
+}
+
+void loop_timer_init(struct loop_timer *timer, struct loop *loop,
+		     void (*fn)(void *arg), void *arg)
+{
+	memset(timer, 0, sizeof(*timer));
+	timer->loop = loop;
+	timer->fn = fn;
+	timer->arg = arg;
+	ev_timer_init(&timer->watcher, on_timer, 0, 0);
+	timer->watcher.data = timer;
+}
+
+void loop_timer_release(struct loop_timer *timer)
+{
+	ev_timer_stop(timer->loop->ev, &timer->watcher);
+}
+
+struct loop_timer *loop_timer_create(struct loop *loop, void (*fn)(void *arg),
+				     void *arg)
+{
+	struct loop_timer *timer = malloc(sizeof(*timer));
+
+	if (timer)
+		loop_timer_init(timer, loop, fn, arg);
+	return timer;
+}
+
+void loop_timer_destroy(struct loop_timer *timer)
+{
+	if (!timer)
+		return;
+	loop_timer_release(timer);
+	free(timer);
+}
+
+/*
+ * A timer that is moved to a later time stays where it is and is set again
+ * when the earlier time has come: idle timeouts move with each request.
+ */
+void loop_timer_set(struct loop_timer *timer, uint64_t delay_ms)
+{
+	int64_t now_us = lws_now_usecs();
+
+	timer->due_us = now_us + (int64_t)(delay_ms * 1000);
+	if (timer->armed_us && timer->armed_us <= timer->due_us)
+		return;
+	arm(timer, now_us);
+}
+
+void loop_timer_cancel(struct loop_timer *timer)
+{
+	timer->due_us = 0;
+}
+
+/* ---- addresses ---- */
+
+enum loop_error loop_parse_address(const char *address, union loop_sockaddr *sa,
+				   socklen_t *len)
+{
+	struct addrinfo hints = { .ai_flags = AI_NUMERICHOST | AI_NUMERICSERV,
+				  .ai_socktype = SOCK_STREAM };
+	char host[ADDRESS_BYTES_MAX];
+	const char *colon = strrchr(address, ':');
+	size_t host_bytes;
+	struct addrinfo *info;
+
+	if (!colon || !colon[1])
+		return LOOP_ERR_ADDRESS;
+	host_bytes = (size_t)(colon - address);
+	if (!host_bytes || host_bytes >= sizeof(host))
+		return LOOP_ERR_ADDRESS;
+	if (address[0] == '[') {
+		if (host_bytes < 3 || colon[-1] != ']')
+			return LOOP_ERR_ADDRESS;
+		address++;
+		host_bytes -= 2;
+	} else if (memchr(address, ':', host_bytes)) {
+		return LOOP_ERR_ADDRESS;
+	}
+	memcpy(host, address, host_bytes);
+	host[host_bytes] = '\0';
+	/* The number is checked here since getaddrinfo() takes 65536 as 0. */
+	if (strlen(colon + 1) > 5 ||
+	    strspn(colon + 1, "0123456789") != strlen(colon + 1) ||
+	    strtoul(colon + 1, NULL, 10) > UINT16_MAX)
+		return LOOP_ERR_ADDRESS;
+	if (getaddrinfo(host, colon + 1, &hints, &info))
+		return LOOP_ERR_ADDRESS;
+	memcpy(sa, info->ai_addr, info->ai_addrlen);
+	*len = info->ai_addrlen;
+	freeaddrinfo(info);
+	return LOOP_OK;
+}
+
+void loop_format_address(const union loop_sockaddr *sa, char *out,
+			 size_t out_bytes)
+{
+	char host[INET6_ADDRSTRLEN];
+
+	if (sa->any.sa_family == AF_INET6) {
+		inet_ntop(AF_INET6, &sa->in6.sin6_addr, host, sizeof(host));
+		snprintf(out, out_bytes, "[%s]:%u", host,
+			 ntohs(sa->in6.sin6_port));
+		return;
+	}
+	inet_ntop(AF_INET, &sa->in.sin_addr, host, sizeof(host));
+	snprintf(out, out_bytes, "%s:%u", host, ntohs(sa->in.sin_port));
+}
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -74,7 +74,10 @@
 	void (*opened)(void *arg, struct loop_conn *conn);
 	void (*data)(void *arg, struct loop_conn *conn, const uint8_t *data,
 		     size_t len_bytes);
-	/* All that was queued has been handed to the system. May be NULL. */
+	/*
+	 * All that was queued has been handed to the system. Not called when
+	 * loop_conn_send() could hand everything over at once. May be NULL.
+	 */
 	void (*drained)(void *arg, struct loop_conn *conn);
 	/*
 	 * The connection is gone; conn is invalid after the return. Not called
@@ -113,6 +116,11 @@
 			       size_t len_bytes);
 size_t loop_conn_queued_bytes(const struct loop_conn *conn);
 
+/*
+ * Bytes that the system has taken since the connection was established.
+ */
+uint64_t loop_conn_sent_bytes(const struct loop_conn *conn);
+
 /*
  * Stops or resumes reading.
  */
--- /dev/null
+++ b/almondward/loop_conn.c
@@ -0,0 +1,476 @@
+#include "loop_private.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <utlist.h>
+
+#include "buf.h"
+#include "log.h"
+
+/* Unacknowledged data breaks a connection after this time. */
+#define USER_TIMEOUT_MS 5000
+/*
+ * After the last byte the other end gets this time to close. Closing at once
+ * would reset the connection if unread data is left, and the reset can destroy
+ * a response that is still under way.
+ */
+#define LINGER_MS 1000
+/* A closing connection whose data makes no progress is given up. */
+#define LINGER_STALL_MS 5000
+/* Lets other connections run while a large queue is sent. */
+#define SEND_BYTES_PER_TURN 262144
+/* An empty queue keeps at most this much memory. */
+#define QUEUE_KEEP_BYTES 65536
+
+enum conn_state {
+	CONN_CONNECTING,
+	CONN_OPEN,
+	CONN_LINGER /* the owner has let go, data is still sent */
+};
+
+struct loop_conn {
+	struct loop *loop;
+	struct lws *wsi;
+	int fd;
+	enum conn_state state;
+	const struct loop_conn_ops *ops;
+	void *arg;
+	struct buf out;
+	size_t out_offset_bytes;
+	uint64_t sent_bytes;
+	size_t linger_queued_bytes;
+	struct loop_timer timer; /* connect timeout, later lingering */
+	uint32_t busy; /* callbacks that run */
+	bool dead; /* closed by the owner within a callback */
+	bool write_failed;
+	bool shut;
+	bool paused;
+	bool notify_drained;
+	char peer[ADDRESS_BYTES_MAX];
+	struct loop_conn *prev, *next;
+};
+
+static void conn_free(struct loop_conn *conn)
+{
+	loop_timer_release(&conn->timer);
+	buf_release(&conn->out);
+	free(conn);
+}
+
+static void enter(struct loop_conn *conn)
+{
+	conn->busy++;
+}
+
+/*
+ * Returns true if the connection was closed by a callback and is now freed.
+ */
+static bool leave(struct loop_conn *conn)
+{
+	conn->busy--;
+	if (!conn->dead)
+		return false;
+	if (!conn->busy)
+		conn_free(conn);
+	return true;
+}
+
+/*
+ * Lets libwebsockets close the socket in the next turn. Safe also within a
+ * callback of that socket. The shutdown makes the socket readable, which ends
+ * it even when the timeout of libwebsockets does not wake the loop.
+ */
+static void kill_wsi(struct loop_conn *conn)
+{
+	lws_set_opaque_user_data(conn->wsi, NULL);
+	if (conn->paused)
+		lws_rx_flow_control(conn->wsi, 1);
+	shutdown(conn->fd, SHUT_RDWR);
+	lws_set_timeout(conn->wsi, PENDING_TIMEOUT_USER_REASON_BASE,
+			LWS_TO_KILL_ASYNC);
+}
+
+void loop_conn_close(struct loop_conn *conn)
+{
+	if (conn->dead)
+		return;
+	conn->dead = true;
+	if (conn->wsi) {
+		kill_wsi(conn);
+		DL_DELETE(conn->loop->conns, conn);
+	}
+	if (!conn->busy)
+		conn_free(conn);
+}
+
+/*
+ * The socket is gone.
+ */
+static void conn_gone(struct loop_conn *conn, enum loop_close reason)
+{
+	DL_DELETE(conn->loop->conns, conn);
+	conn->wsi = NULL;
+	loop_timer_cancel(&conn->timer);
+	enter(conn);
+	if (conn->state == CONN_CONNECTING)
+		reason = LOOP_CLOSE_CONNECT_FAILED;
+	if (conn->state != CONN_LINGER && conn->ops)
+		conn->ops->closed(conn->arg, conn, reason);
+	conn->dead = true;
+	leave(conn);
+}
+
+static void on_conn_timer(void *arg)
+{
+	struct loop_conn *conn = arg;
+	size_t queued_bytes = loop_conn_queued_bytes(conn);
+
+	if (conn->state == CONN_LINGER && !conn->shut &&
+	    queued_bytes < conn->linger_queued_bytes) {
+		conn->linger_queued_bytes = queued_bytes;
+		loop_timer_set(&conn->timer, LINGER_STALL_MS);
+		return;
+	}
+	if (conn->state == CONN_LINGER) {
+		loop_conn_close(conn);
+		return;
+	}
+	kill_wsi(conn);
+	conn_gone(conn, LOOP_CLOSE_ERROR);
+}
+
+static int set_options(int fd)
+{
+	unsigned int timeout_ms = USER_TIMEOUT_MS;
+	int on = 1;
+
+	if (setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)))
+		return -1;
+	return setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+			  sizeof(timeout_ms));
+}
+
+struct loop_conn *loop_conn_adopt(struct loop *loop, int fd,
+				  const union loop_sockaddr *peer,
+				  bool connecting)
+{
+	struct loop_conn *conn = calloc(1, sizeof(*conn));
+	lws_adopt_desc_t desc = { .type = LWS_ADOPT_SOCKET };
+
+	if (!conn || set_options(fd)) {
+		free(conn);
+		close(fd);
+		return NULL;
+	}
+	conn->loop = loop;
+	conn->fd = fd;
+	conn->state = connecting ? CONN_CONNECTING : CONN_OPEN;
+	loop_format_address(peer, conn->peer, sizeof(conn->peer));
+	loop_timer_init(&conn->timer, loop, on_conn_timer, conn);
+	desc.vh = lws_get_vhost_by_name(loop->lws, "default");
+	desc.fd.sockfd = fd;
+	desc.vh_prot_name = "almondward";
+	desc.opaque = conn;
+	/* Closes fd on failure, for example at the limit of open files. */
+	conn->wsi = lws_adopt_descriptor_vhost_via_info(&desc);
+	if (!conn->wsi) {
+		free(conn);
+		return NULL;
+	}
+	DL_APPEND(loop->conns, conn);
+	if (connecting)
+		lws_callback_on_writable(conn->wsi);
+	return conn;
+}
+
+void loop_conn_accept(struct loop_conn *conn,
+		      void (*fn)(void *arg, struct loop_conn *conn), void *arg)
+{
+	enter(conn);
+	fn(arg, conn);
+	leave(conn);
+}
+
+void loop_conn_free_all(struct loop *loop)
+{
+	struct loop_conn *conn, *next;
+
+	DL_FOREACH_SAFE(loop->conns, conn, next)
+	{
+		lws_set_opaque_user_data(conn->wsi, NULL);
+		conn_free(conn);
+	}
+	loop->conns = NULL;
+}
+
+/*
+ * The socket is connected here and not by lws_client_connect_via_info(), which
+ * reports some failures before it returns and cannot be cancelled from outside.
+ */
+enum loop_error loop_connect(struct loop *loop, const char *address,
+			     uint32_t timeout_ms,
+			     const struct loop_conn_ops *ops, void *arg,
+			     struct loop_conn **conn)
+{
+	union loop_sockaddr sa;
+	enum loop_error err;
+	socklen_t len;
+	bool failed;
+	int fd;
+
+	err = loop_parse_address(address, &sa, &len);
+	if (err)
+		return err;
+	fd = socket(sa.any.sa_family,
+		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return LOOP_ERR_SYSTEM;
+	failed = connect(fd, &sa.any, len) && errno != EINPROGRESS;
+	*conn = loop_conn_adopt(loop, fd, &sa, true);
+	if (!*conn) {
+		errno = EMFILE;
+		return LOOP_ERR_SYSTEM;
+	}
+	(*conn)->ops = ops;
+	(*conn)->arg = arg;
+	loop_timer_set(&(*conn)->timer, failed ? 0 : timeout_ms);
+	return LOOP_OK;
+}
+
+void loop_conn_set_ops(struct loop_conn *conn, const struct loop_conn_ops *ops,
+		       void *arg)
+{
+	conn->ops = ops;
+	conn->arg = arg;
+}
+
+/* ---- sending ---- */
+
+/*
+ * Drops the queue. Data that was received before the failure can still be
+ * read, so the close comes from the reading side, at the latest by the timeout.
+ */
+static void write_failed(struct loop_conn *conn)
+{
+	conn->write_failed = true;
+	buf_release(&conn->out);
+	conn->out_offset_bytes = 0;
+	loop_timer_set(&conn->timer, LINGER_MS);
+}
+
+/*
+ * Sends directly: lws_write() keeps a partly sent buffer and reads nothing
+ * until it is sent, so two ends that both have much to send would block each
+ * other. Returns the bytes taken by the system.
+ */
+static size_t send_some(struct loop_conn *conn, const void *data,
+			size_t len_bytes)
+{
+	ssize_t sent;
+
+	do
+		sent = send(conn->fd, data, len_bytes,
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
+	while (sent < 0 && errno == EINTR);
+	if (sent >= 0) {
+		conn->sent_bytes += (uint64_t)sent;
+		return (size_t)sent;
+	}
+	if (errno != EAGAIN && errno != EWOULDBLOCK)
+		write_failed(conn);
+	return 0;
+}
+
+static enum loop_error queue(struct loop_conn *conn, const void *data,
+			     size_t len_bytes)
+{
+	if (conn->out_offset_bytes > conn->out.len_bytes / 2) {
+		buf_consume(&conn->out, conn->out_offset_bytes);
+		conn->out_offset_bytes = 0;
+	}
+	if (buf_append(&conn->out, data, len_bytes))
+		return LOOP_ERR_MEMORY;
+	return LOOP_OK;
+}
+
+enum loop_error loop_conn_send(struct loop_conn *conn, const void *data,
+			       size_t len_bytes)
+{
+	enum loop_error err;
+	size_t sent_bytes = 0;
+
+	if (conn->dead || !conn->wsi || conn->write_failed ||
+	    conn->state == CONN_LINGER)
+		return LOOP_ERR_CLOSED;
+	if (conn->state == CONN_OPEN && !loop_conn_queued_bytes(conn))
+		sent_bytes = send_some(conn, data,
+				       len_bytes < SEND_BYTES_PER_TURN ?
+					       len_bytes :
+					       SEND_BYTES_PER_TURN);
+	if (conn->write_failed)
+		return LOOP_ERR_CLOSED;
+	if (sent_bytes < len_bytes) {
+		err = queue(conn, (const uint8_t *)data + sent_bytes,
+			    len_bytes - sent_bytes);
+		if (err)
+			return err;
+	}
+	if (loop_conn_queued_bytes(conn)) {
+		conn->notify_drained = true;
+		lws_callback_on_writable(conn->wsi);
+	}
+	return LOOP_OK;
+}
+
+size_t loop_conn_queued_bytes(const struct loop_conn *conn)
+{
+	return conn->out.len_bytes - conn->out_offset_bytes;
+}
+
+uint64_t loop_conn_sent_bytes(const struct loop_conn *conn)
+{
+	return conn->sent_bytes;
+}
+
+static void send_queue(struct loop_conn *conn)
+{
+	size_t len_bytes = loop_conn_queued_bytes(conn);
+
+	if (len_bytes > SEND_BYTES_PER_TURN)
+		len_bytes = SEND_BYTES_PER_TURN;
+	conn->out_offset_bytes += send_some(
+		conn, conn->out.data + conn->out_offset_bytes, len_bytes);
+	if (conn->write_failed)
+		conn->out_offset_bytes = 0;
+	if (loop_conn_queued_bytes(conn))
+		return;
+	buf_clear(&conn->out);
+	conn->out_offset_bytes = 0;
+	if (conn->out.size_bytes > QUEUE_KEEP_BYTES)
+		buf_release(&conn->out);
+}
+
+static void shut(struct loop_conn *conn)
+{
+	conn->shut = true;
+	shutdown(conn->fd, SHUT_WR);
+	loop_timer_set(&conn->timer, LINGER_MS);
+}
+
+void loop_conn_close_after_send(struct loop_conn *conn)
+{
+	if (conn->dead)
+		return;
+	if (!conn->wsi || conn->state == CONN_CONNECTING ||
+	    conn->write_failed) {
+		loop_conn_close(conn);
+		return;
+	}
+	conn->state = CONN_LINGER;
+	conn->ops = NULL;
+	loop_conn_pause(conn, false);
+	conn->linger_queued_bytes = loop_conn_queued_bytes(conn);
+	if (conn->linger_queued_bytes)
+		loop_timer_set(&conn->timer, LINGER_STALL_MS);
+	else
+		shut(conn);
+}
+
+void loop_conn_pause(struct loop_conn *conn, bool paused)
+{
+	if (conn->dead || !conn->wsi || conn->paused == paused)
+		return;
+	conn->paused = paused;
+	lws_rx_flow_control(conn->wsi, !paused);
+}
+
+const char *loop_conn_peer(const struct loop_conn *conn)
+{
+	return conn->peer;
+}
+
+/* ---- events of libwebsockets ---- */
+
+static int connect_done(struct loop_conn *conn)
+{
+	socklen_t len = sizeof(int);
+	int cause = 0;
+
+	if (getsockopt(conn->fd, SOL_SOCKET, SO_ERROR, &cause, &len) || cause)
+		return -1;
+	conn->state = CONN_OPEN;
+	loop_timer_cancel(&conn->timer);
+	enter(conn);
+	if (conn->ops->opened)
+		conn->ops->opened(conn->arg, conn);
+	return leave(conn) ? -1 : 0;
+}
+
+static int on_writable(struct loop_conn *conn)
+{
+	if (conn->state == CONN_CONNECTING && connect_done(conn))
+		return -1;
+	if (loop_conn_queued_bytes(conn) && !conn->write_failed)
+		send_queue(conn);
+	if (loop_conn_queued_bytes(conn)) {
+		lws_callback_on_writable(conn->wsi);
+		return 0;
+	}
+	if (conn->state == CONN_LINGER) {
+		if (!conn->shut)
+			shut(conn);
+		return 0;
+	}
+	if (!conn->notify_drained || conn->write_failed)
+		return 0;
+	conn->notify_drained = false;
+	if (!conn->ops || !conn->ops->drained)
+		return 0;
+	enter(conn);
+	conn->ops->drained(conn->arg, conn);
+	return leave(conn) ? -1 : 0;
+}
+
+static int on_data(struct loop_conn *conn, const uint8_t *data,
+		   size_t len_bytes)
+{
+	/* Readable implies connected, though not yet seen as writable. */
+	if (conn->state == CONN_CONNECTING && connect_done(conn))
+		return -1;
+	if (conn->state == CONN_LINGER || !conn->ops)
+		return 0;
+	enter(conn);
+	conn->ops->data(conn->arg, conn, data, len_bytes);
+	return leave(conn) ? -1 : 0;
+}
+
+int loop_lws_callback(struct lws *wsi, enum lws_callback_reasons reason,
+		      void *user, void *in, size_t len)
+{
+	struct loop_conn *conn;
+
+	(void)user;
+	switch (reason) {
+	case LWS_CALLBACK_RAW_RX:
+		conn = lws_get_opaque_user_data(wsi);
+		return conn ? on_data(conn, in, len) : -1;
+	case LWS_CALLBACK_RAW_WRITEABLE:
+		conn = lws_get_opaque_user_data(wsi);
+		return conn ? on_writable(conn) : -1;
+	case LWS_CALLBACK_RAW_CLOSE:
+		conn = lws_get_opaque_user_data(wsi);
+		if (!conn)
+			return 0;
+		lws_set_opaque_user_data(wsi, NULL);
+		conn_gone(conn, conn->write_failed ? LOOP_CLOSE_ERROR :
+						     LOOP_CLOSE_BY_PEER);
+		return 0;
+	default:
+		return 0;
+	}
+}
