--- /dev/null
+++ b/tests/fault_disk.h
@@ -0,0 +1,178 @@
+// A disk for store_open() that fails at a chosen call and loses what was not
+// synced. Real files are used; syncs are only recorded, which keeps runs fast.
+#ifndef FAULT_DISK_H
+#define FAULT_DISK_H
+
+#include <cerrno>
+#include <cstdint>
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+#include <random>
+#include <string>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "store.h"
+
+enum fault { FAULT_EIO, FAULT_FULL, FAULT_SHORT, FAULT_CRASH, FAULT_COUNT };
+
+class FaultDisk
+{
+public:
+	std::string dir;
+	uint64_t calls = 0;
+	uint64_t fail_at = 0; // number of the call, 0: never
+	enum fault kind = FAULT_EIO;
+	bool crashed = false;
+	bool full = false; // every write fails
+	bool truncate_fails = false;
+	bool ignore_syncs = false; // takes the guard away: nothing is synced
+	std::string trace; // one letter a call: w, s, r, t
+
+	explicit FaultDisk(const std::string &base)
+	{
+		root = base;
+		dir = base + "/data";
+		wipe();
+	}
+	~FaultDisk()
+	{
+		std::filesystem::remove_all(root);
+	}
+	void wipe()
+	{
+		std::filesystem::remove_all(root);
+		std::filesystem::create_directories(dir);
+		std::filesystem::create_directories(root + "/old");
+		synced.clear();
+	}
+	const struct store_io *io()
+	{
+		static const struct store_io none = {};
+
+		table = none;
+		table.arg = this;
+		table.write = on_write;
+		table.fsync = on_fsync;
+		table.rename = on_rename;
+		table.ftruncate = on_ftruncate;
+		return &table;
+	}
+	// To be called with the store closed, as after a power failure.
+	void lose_unsynced(std::mt19937_64 &rng)
+	{
+		for (const auto &old :
+		     std::filesystem::directory_iterator(root + "/old"))
+			if (rng() % 2)
+				std::filesystem::rename(
+					old.path(),
+					dir + "/" +
+						old.path().filename().string());
+			else
+				std::filesystem::remove(old.path());
+		cut_tail(dir + "/log", rng);
+		crashed = false;
+	}
+
+private:
+	std::string root;
+	struct store_io table;
+	std::map<ino_t, uint64_t> synced;
+
+	void cut_tail(const std::string &path, std::mt19937_64 &rng)
+	{
+		struct stat st;
+
+		if (stat(path.c_str(), &st))
+			return;
+		uint64_t size = st.st_size, kept = synced[st.st_ino];
+
+		if (kept < size)
+			kept += rng() % (size - kept + 1);
+		if (kept < size && truncate(path.c_str(), kept))
+			abort();
+	}
+	// Returns true when this call must fail; errno is set.
+	bool fails(char letter)
+	{
+		trace += letter;
+		calls++;
+		if (crashed) {
+			errno = EIO;
+			return true;
+		}
+		if (full && letter == 'w') {
+			errno = ENOSPC;
+			return true;
+		}
+		if (calls != fail_at)
+			return false;
+		crashed = kind == FAULT_CRASH;
+		errno = kind == FAULT_FULL || kind == FAULT_SHORT ? ENOSPC :
+								    EIO;
+		return true;
+	}
+	static ssize_t on_write(void *arg, int fd, const void *data, size_t len)
+	{
+		FaultDisk *disk = (FaultDisk *)arg;
+
+		if (disk->fails('w')) {
+			int error = errno;
+
+			// Half of it arrives before the error.
+			if (!disk->full && disk->kind >= FAULT_SHORT &&
+			    disk->calls == disk->fail_at &&
+			    write(fd, data, len / 2) < 0)
+				abort();
+			errno = error;
+			return -1;
+		}
+		return write(fd, data, len);
+	}
+	static int on_fsync(void *arg, int fd)
+	{
+		FaultDisk *disk = (FaultDisk *)arg;
+		struct stat st;
+
+		if (disk->fails('s'))
+			return -1;
+		if (disk->ignore_syncs)
+			return 0;
+		if (fstat(fd, &st))
+			abort();
+		if (S_ISDIR(st.st_mode)) {
+			std::filesystem::remove_all(disk->root + "/old");
+			std::filesystem::create_directories(disk->root +
+							    "/old");
+		} else {
+			disk->synced[st.st_ino] = st.st_size;
+		}
+		return 0;
+	}
+	static int on_rename(void *arg, const char *from, const char *to)
+	{
+		FaultDisk *disk = (FaultDisk *)arg;
+		std::string name = std::filesystem::path(to).filename();
+
+		if (disk->fails('r'))
+			return -1;
+		// The old file can come back until the directory is synced.
+		if (link(to, (disk->root + "/old/" + name).c_str()) &&
+		    errno != ENOENT)
+			abort();
+		return rename(from, to);
+	}
+	static int on_ftruncate(void *arg, int fd, off_t len)
+	{
+		FaultDisk *disk = (FaultDisk *)arg;
+
+		if (disk->fails('t') || disk->truncate_fails) {
+			errno = EIO;
+			return -1;
+		}
+		return ftruncate(fd, len);
+	}
+};
+
+#endif
--- /dev/null
+++ b/tests/store_test.cc
@@ -0,0 +1,411 @@
+// Guards the data directory: what is synced survives, faults never do harm
+// beyond what the store reports.
+#include <fstream>
+#include <iterator>
+#include <memory>
+
+#include <gtest/gtest.h>
+
+#include "fault_disk.h"
+#include "log.h"
+#include "store.h"
+
+namespace
+{
+
+std::string base_dir()
+{
+	static int nr;
+
+	return testing::TempDir() + "almondward-store-" +
+	       std::to_string(getpid()) + "-" + std::to_string(nr++);
+}
+
+std::string read_file(const std::string &path)
+{
+	std::ifstream in(path, std::ios::binary);
+
+	return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+void write_file(const std::string &path, const std::string &data)
+{
+	std::ofstream(path, std::ios::binary) << data;
+}
+
+std::string payload(uint64_t index)
+{
+	return "operation " + std::to_string(index) + std::string(index, 'x');
+}
+
+enum store_error append(struct store *store, uint64_t index, uint64_t term)
+{
+	std::string op = payload(index);
+	Aw__LogEntry entry = AW__LOG_ENTRY__INIT;
+	const Aw__LogEntry *entries[] = { &entry };
+
+	entry.index = index;
+	entry.term = term;
+	entry.op.data = (uint8_t *)op.data();
+	entry.op.len = op.size();
+	return store_append(store, entries, 1);
+}
+
+enum store_error save_snapshot(struct store *store, uint64_t index,
+			       uint64_t term)
+{
+	Aw__Snapshot snapshot = AW__SNAPSHOT__INIT;
+
+	snapshot.last_index = index;
+	snapshot.last_term = term;
+	return store_save_snapshot(store, &snapshot);
+}
+
+class Store : public testing::Test
+{
+protected:
+	FaultDisk disk{ base_dir() };
+	struct store *store = nullptr;
+	char text[256] = "";
+
+	static void SetUpTestSuite()
+	{
+		log_set_level(LOG_LEVEL_ERROR);
+	}
+	~Store()
+	{
+		store_close(store);
+	}
+	enum store_error open()
+	{
+		store_close(store);
+		store = nullptr;
+		return store_open(disk.dir.c_str(), disk.io(), &store, text,
+				  sizeof(text));
+	}
+	void fill(uint64_t nr)
+	{
+		ASSERT_EQ(STORE_OK, open()) << text;
+		for (uint64_t i = 1; i <= nr; i++)
+			ASSERT_EQ(STORE_OK, append(store, i, 1));
+		ASSERT_EQ(STORE_OK, store_sync(store));
+	}
+	void expect_entries(uint64_t first, uint64_t last)
+	{
+		ASSERT_EQ(first, store_first_index(store));
+		ASSERT_EQ(last, store_last_index(store));
+		for (uint64_t i = first; i <= last; i++) {
+			const Aw__LogEntry *entry = store_entry(store, i);
+
+			ASSERT_NE(nullptr, entry);
+			EXPECT_EQ(payload(i),
+				  std::string((char *)entry->op.data,
+					      entry->op.len));
+		}
+		EXPECT_EQ(nullptr, store_entry(store, first - 1));
+		EXPECT_EQ(nullptr, store_entry(store, last + 1));
+	}
+};
+
+TEST_F(Store, KeepsEntriesVoteAndIdentity)
+{
+	fill(5);
+	uint64_t incarnation = store_incarnation(store);
+
+	ASSERT_EQ(STORE_OK, store_set_vote(store, 7, "b"));
+	ASSERT_EQ(STORE_OK, store_set_cluster_id(store, 99));
+	ASSERT_EQ(STORE_OK, open()) << text;
+	expect_entries(1, 5);
+	EXPECT_EQ(incarnation, store_incarnation(store));
+	EXPECT_EQ(99u, store_cluster_id(store));
+	EXPECT_EQ(7u, store_term(store));
+	EXPECT_STREQ("b", store_voted_for(store));
+}
+
+// Two processes on one directory would vote twice.
+TEST_F(Store, LocksTheDirectory)
+{
+	struct store *second = nullptr;
+
+	fill(1);
+	EXPECT_EQ(STORE_ERR_LOCKED, store_open(disk.dir.c_str(), nullptr,
+					       &second, text, sizeof(text)));
+	EXPECT_EQ(nullptr, second);
+}
+
+TEST_F(Store, FoundsOnlyInAnEmptyDirectory)
+{
+	ASSERT_EQ(STORE_OK, store_found(disk.dir.c_str(), "a", disk.io(), text,
+					sizeof(text)));
+	EXPECT_EQ(STORE_ERR_NOT_EMPTY,
+		  store_found(disk.dir.c_str(), "a", disk.io(), text,
+			      sizeof(text)));
+	ASSERT_EQ(STORE_OK, open()) << text;
+	EXPECT_NE(0u, store_cluster_id(store));
+	ASSERT_EQ(1u, store_last_index(store));
+	const Aw__LogEntry *entry = store_entry(store, 1);
+
+	ASSERT_EQ(1u, entry->n_voters);
+	EXPECT_STREQ("a", entry->voters[0]->name);
+	EXPECT_EQ(store_incarnation(store), entry->voters[0]->incarnation);
+}
+
+// An init that was interrupted must not pass for an empty directory or for a
+// founded cluster.
+TEST_F(Store, InterruptedFoundIsNotUsed)
+{
+	for (uint64_t at = 1; at < 20; at++) {
+		disk.wipe();
+		disk.calls = 0;
+		disk.fail_at = at;
+		disk.kind = FAULT_CRASH;
+		enum store_error error = store_found(
+			disk.dir.c_str(), "a", disk.io(), text, sizeof(text));
+
+		disk.crashed = false;
+		disk.fail_at = 0;
+		if (!error)
+			break;
+		if (open() == STORE_OK && store_cluster_id(store)) {
+			EXPECT_EQ(1u, store_last_index(store)) << at;
+		}
+		store_close(store);
+		store = nullptr;
+	}
+}
+
+// Every cut within the last record loses that record and nothing else.
+TEST_F(Store, CutsATornTail)
+{
+	fill(3);
+	std::string before = read_file(disk.dir + "/log");
+
+	ASSERT_EQ(STORE_OK, append(store, 4, 1));
+	ASSERT_EQ(STORE_OK, store_sync(store));
+	std::string whole = read_file(disk.dir + "/log");
+
+	for (size_t len = before.size(); len < whole.size(); len++) {
+		store_close(store);
+		store = nullptr;
+		write_file(disk.dir + "/log", whole.substr(0, len));
+		ASSERT_EQ(STORE_OK, open()) << text;
+		expect_entries(1, 3);
+		ASSERT_EQ(STORE_OK, append(store, 4, 2));
+		ASSERT_EQ(STORE_OK, open()) << text;
+		expect_entries(1, 4);
+	}
+}
+
+// Entries behind a damaged record were synced: cutting them loses decisions.
+TEST_F(Store, StopsAtDamageBeforeAValidRecord)
+{
+	fill(2);
+	std::string whole;
+	size_t begin = read_file(disk.dir + "/log").size();
+
+	ASSERT_EQ(STORE_OK, append(store, 3, 1));
+	size_t end = read_file(disk.dir + "/log").size();
+
+	ASSERT_EQ(STORE_OK, append(store, 4, 1));
+	whole = read_file(disk.dir + "/log");
+	for (size_t at = begin; at < end; at++) {
+		std::string damaged = whole;
+
+		store_close(store);
+		store = nullptr;
+		damaged[at] ^= 0x55;
+		write_file(disk.dir + "/log", damaged);
+		ASSERT_EQ(STORE_ERR_CORRUPT, open()) << at;
+		EXPECT_NE(nullptr, strstr(text, "/log: offset")) << text;
+		EXPECT_NE(nullptr, strstr(text, std::to_string(begin).c_str()));
+	}
+}
+
+TEST_F(Store, SnapshotReplacesTheFrontOfTheLog)
+{
+	fill(6);
+	ASSERT_EQ(STORE_OK, save_snapshot(store, 4, 1));
+	expect_entries(5, 6);
+	EXPECT_EQ(1u, store_entry_term(store, 4));
+	ASSERT_EQ(STORE_OK, append(store, 7, 1));
+	ASSERT_EQ(STORE_OK, store_cut(store, 6));
+	ASSERT_EQ(STORE_OK, open()) << text;
+	expect_entries(5, 5);
+	// A snapshot ahead of the log, and one that the log contradicts.
+	ASSERT_EQ(STORE_OK, save_snapshot(store, 9, 2));
+	expect_entries(10, 9);
+	ASSERT_EQ(STORE_OK, append(store, 10, 2));
+	ASSERT_EQ(STORE_OK, append(store, 11, 2));
+	ASSERT_EQ(STORE_OK, save_snapshot(store, 10, 3));
+	ASSERT_EQ(STORE_OK, open()) << text;
+	expect_entries(11, 10);
+}
+
+// A full disk refuses the entry, keeps the rest and leaves no half record
+// that a crash could bring back, so the cut must be synced.
+TEST_F(Store, FullDiskRefusesAndGoesOn)
+{
+	fill(2);
+	disk.fail_at = disk.calls + 1;
+	disk.kind = FAULT_SHORT;
+	disk.trace.clear();
+	EXPECT_EQ(STORE_ERR_FULL, append(store, 3, 1));
+	EXPECT_EQ("wts", disk.trace);
+	ASSERT_EQ(STORE_OK, append(store, 3, 2));
+	disk.full = true;
+	EXPECT_EQ(STORE_ERR_FULL, store_set_vote(store, 9, "c"));
+	EXPECT_EQ(0u, store_term(store));
+	EXPECT_EQ(STORE_ERR_FULL, save_snapshot(store, 2, 1));
+	disk.full = false;
+	ASSERT_EQ(STORE_OK, store_set_vote(store, 9, "c"));
+	ASSERT_EQ(STORE_OK, open()) << text;
+	expect_entries(1, 3);
+	EXPECT_EQ(2u, store_entry_term(store, 3));
+}
+
+TEST_F(Store, FailedCutBackFailsTheStore)
+{
+	fill(2);
+	disk.full = disk.truncate_fails = true;
+	EXPECT_EQ(STORE_ERR_FAILED, append(store, 3, 1));
+	disk.full = disk.truncate_fails = false;
+	EXPECT_EQ(STORE_ERR_FAILED, append(store, 3, 1));
+}
+
+// After a failed sync the kernel may have dropped the data, so a second sync
+// that succeeds proves nothing.
+TEST_F(Store, FailedSyncIsFinal)
+{
+	fill(2);
+	ASSERT_EQ(STORE_OK, append(store, 3, 1));
+	disk.fail_at = disk.calls + 1;
+	EXPECT_EQ(STORE_ERR_FAILED, store_sync(store));
+	EXPECT_EQ(STORE_ERR_FAILED, store_sync(store));
+	EXPECT_EQ(STORE_ERR_FAILED, append(store, 4, 1));
+	EXPECT_EQ(STORE_ERR_FAILED, store_cut(store, 1));
+	EXPECT_EQ(STORE_ERR_FAILED, store_set_vote(store, 2, "a"));
+	EXPECT_EQ(STORE_ERR_FAILED, save_snapshot(store, 1, 1));
+}
+
+// What the store acknowledged, to be found again after any fault.
+struct Promise {
+	uint64_t min_last = 0; // synced
+	uint64_t max_last = 0; // attempted
+	uint64_t term = 0;
+	uint64_t max_term = 0;
+	uint64_t snapshot = 0;
+};
+
+// Runs a fixed script; stops when the store has failed.
+void run_script(struct store *store, Promise *promise)
+{
+	for (uint64_t step = 1; step <= 12; step++) {
+		uint64_t last = store_last_index(store);
+		enum store_error error = STORE_OK;
+
+		if (step % 4 == 0) {
+			promise->max_term = step;
+			error = store_set_vote(store, step, "b");
+			if (!error)
+				promise->term = step;
+		} else if (step % 5 == 0) {
+			error = save_snapshot(store, last - 1, 1);
+			if (!error)
+				promise->snapshot = last - 1;
+		} else if (step == 11) {
+			promise->min_last =
+				std::min(promise->min_last, last - 1);
+			error = store_cut(store, last);
+		} else {
+			error = append(store, last + 1, 1);
+			promise->max_last =
+				std::max(promise->max_last, last + 1);
+			if (!error)
+				error = store_sync(store);
+			if (!error)
+				promise->min_last = last + 1;
+		}
+		if (error == STORE_ERR_FAILED)
+			return;
+	}
+}
+
+// Fails each call in turn in each way, then loses what was not synced.
+TEST_F(Store, KeepsPromisesUnderAFaultAtEachStep)
+{
+	for (int kind = 0; kind < FAULT_COUNT; kind++) {
+		for (uint64_t at = 1;; at++) {
+			std::mt19937_64 rng(at);
+			Promise promise;
+
+			store_close(store);
+			store = nullptr;
+			disk.wipe();
+			ASSERT_EQ(STORE_OK, open()) << text;
+			disk.calls = 0;
+			disk.fail_at = at;
+			disk.kind = (enum fault)kind;
+			run_script(store, &promise);
+			bool done = disk.calls < at;
+
+			store_close(store);
+			store = nullptr;
+			disk.fail_at = 0;
+			disk.lose_unsynced(rng);
+			ASSERT_EQ(STORE_OK, open()) << text << at;
+			EXPECT_GE(store_last_index(store), promise.min_last);
+			EXPECT_LE(store_last_index(store), promise.max_last);
+			EXPECT_GE(store_first_index(store),
+				  promise.snapshot + 1);
+			EXPECT_GE(store_term(store), promise.term);
+			EXPECT_LE(store_term(store), promise.max_term);
+			expect_entries(store_first_index(store),
+				       store_last_index(store));
+			if (testing::Test::HasFailure())
+				FAIL() << "kind " << kind << " call " << at;
+			if (done)
+				break;
+		}
+	}
+}
+
+// Damaged files must give an error or a true prefix, never other content.
+TEST_F(Store, SurvivesMutatedFiles)
+{
+	fill(6);
+	ASSERT_EQ(STORE_OK, save_snapshot(store, 2, 1));
+	store_close(store);
+	store = nullptr;
+	std::string names[] = { "/log", "/snapshot", "/hard-state" };
+
+	for (uint64_t seed = 1; seed <= 3000; seed++) {
+		std::mt19937_64 rng(seed);
+		std::string path = disk.dir + names[rng() % 3];
+		std::string whole = read_file(path), data = whole;
+
+		for (uint64_t n = 1 + rng() % 4; n && !data.empty(); n--) {
+			size_t at = rng() % data.size();
+
+			if (rng() % 4 == 0)
+				data.resize(at);
+			else if (rng() % 4 == 0)
+				data.insert(at, data.substr(0, rng() % 40));
+			else
+				data[at] = (char)rng();
+		}
+		std::string log = read_file(disk.dir + "/log");
+
+		write_file(path, data);
+		if (open() == STORE_OK) {
+			ASSERT_LE(store_last_index(store), 6u) << seed;
+			expect_entries(3, store_last_index(store));
+		}
+		ASSERT_FALSE(HasFailure()) << "seed " << seed;
+		store_close(store);
+		store = nullptr;
+		write_file(disk.dir + "/log", log);
+		write_file(path, whole);
+	}
+}
+
+} // namespace
