--- /dev/null
+++ b/tests/route_test.cc
@@ -0,0 +1,326 @@
+// Guards target checks, key searches, look-ups and the choice of a server.
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "config_fake.h"
+#include "decision.h"
+#include "key.h"
+#include "lookup.h"
+#include "route.h"
+#include "state_fake.h"
+#include "view.h"
+
+static const std::string sample_key = "aw1_" + std::string(43, 'x');
+
+// A target that a backend server could read as another path must be refused.
+TEST(Target, RefusesWhatServersMayReadDifferently)
+{
+	const struct {
+		const char *target;
+		bool ok;
+	} table[] = {
+		{ "/", true },
+		{ "/jobs/12?x=../a", true },
+		{ "/jobs/", true },
+		{ "/a.b/..c", true },
+		{ "/caf%C3%A9%20", true },
+		{ "/100%25", true },
+		{ "/q?a=%2e%2e", true },
+		{ "", false },
+		{ "*", false },
+		{ "http://x/", false },
+		{ "/a/../b", false },
+		{ "/a/..", false },
+		{ "/a/.", false },
+		{ "/./a", false },
+		{ "//a", false },
+		{ "/a//b", false },
+		{ "/a/..;x/b", false },
+		{ "/a/;x/b", false },
+		{ "/a%2fb", false },
+		{ "/a%2Fb", false },
+		{ "/%2e%2e/b", false },
+		{ "/%2E/b", false },
+		{ "/%61dmin", false },
+		{ "/a%5cb", false },
+		{ "/a\\b", false },
+		{ "/a%00", false },
+		{ "/a%252fb", false },
+		{ "/a%3bx", false },
+		{ "/a%", false },
+		{ "/a%2", false },
+		{ "/a#b", false },
+		{ "/a b", false },
+		{ "/a\x80", false },
+	};
+
+	for (const auto &row : table)
+		EXPECT_EQ(row.ok, route_target_ok(row.target)) << row.target;
+}
+
+// A key that slips past the search would reach a backend server.
+TEST(Key, IsFoundAlsoWhenEncoded)
+{
+	std::string once, twice;
+	char hex[8];
+
+	for (char c : sample_key) {
+		snprintf(hex, sizeof(hex), "%%%02X", c);
+		once += hex;
+		snprintf(hex, sizeof(hex), "%%25%02x", c);
+		twice += hex;
+	}
+	for (const std::string &text :
+	     { sample_key, "/a?k=" + sample_key + "&b", once, twice,
+	       "aw1_aw1_" + sample_key }) {
+		EXPECT_TRUE(key_in_text(text.data(), text.size())) << text;
+		EXPECT_TRUE(key_in_body(sample_key.c_str(),
+					(const uint8_t *)text.data(),
+					text.size()));
+	}
+	for (const std::string &text :
+	     { std::string("aw1_short"), std::string("/a%"), std::string(""),
+	       sample_key.substr(0, 46) }) {
+		EXPECT_FALSE(key_in_text(text.data(), text.size())) << text;
+	}
+	// Another caller's key in a body is data; only the own one is searched.
+	EXPECT_FALSE(key_in_body("aw1_other", (const uint8_t *)once.data(),
+				 once.size()));
+	EXPECT_FALSE(key_has_form((sample_key + "x").c_str(), 48));
+}
+
+TEST(View, LongestRouteEndsAtASegment)
+{
+	StateFake fake;
+
+	fake.route("all", "/", "u", false);
+	fake.route("jobs", "/jobs", "u", false);
+	fake.route("open", "/jobs/open/", "u", true);
+	struct view *view = view_create(fake.state());
+	const struct {
+		const char *target, *route;
+	} table[] = {
+		{ "/jobs", "jobs" },	     { "/jobs?x=1", "jobs" },
+		{ "/jobs/1", "jobs" },	     { "/jobs;v=1", "jobs" },
+		{ "/jobsheet", "all" },	     { "/jobs/open/1", "open" },
+		{ "/jobs/opened", "jobs" },  { "/", "all" },
+		{ "/x?/jobs/open/", "all" },
+	};
+
+	for (const auto &row : table)
+		EXPECT_STREQ(row.route, view_route(view, row.target)->name)
+			<< row.target;
+	view_destroy(view);
+}
+
+TEST(View, LongestClientBlockWins)
+{
+	StateFake fake;
+
+	fake.block("10.0.0.0/8", "a");
+	fake.block("10.1.0.0/16", "b");
+	fake.block("10.1.2.0/24", "c");
+	fake.block("10.1.2.128/25", "d");
+	fake.block("10.2.3.0/24", "e");
+	fake.block("::/0", "f");
+	fake.block("2001:db8::/32", "g");
+	fake.block("2001:db8:1::/48", "h");
+	fake.block("not a block", "x");
+	struct view *view = view_create(fake.state());
+	const struct {
+		const char *address, *zone;
+	} table[] = {
+		{ "10.9.9.9", "a" },	  { "10.1.9.9", "b" },
+		{ "10.1.2.3:4711", "c" }, { "10.1.2.200", "d" },
+		{ "10.1.3.1", "b" },	  { "10.3.0.0", "a" },
+		{ "11.0.0.1", "" },	  { "9.255.255.255", "" },
+		{ "2001:db8::1", "g" },	  { "[2001:db8:1::9]:80", "h" },
+		{ "2001:db9::", "f" },	  { "::ffff:10.1.2.3", "c" },
+	};
+
+	for (const auto &row : table)
+		EXPECT_STREQ(row.zone, view_client_zone(view, row.address))
+			<< row.address;
+	EXPECT_EQ(nullptr, view_client_zone(view, "localhost"));
+	EXPECT_EQ(nullptr, view_client_zone(view, "[::1"));
+	view_destroy(view);
+}
+
+TEST(Lookup, OrdersByDistanceAndOmitsLeavingAndSelf)
+{
+	StateFake fake;
+
+	fake.zone("z1", "r1");
+	fake.zone("z2", "r1");
+	fake.zone("z3", "r2");
+	fake.block("10.0.0.0/8", "z2");
+	struct view *view = view_create(fake.state());
+	const char *rows[][2] = { { "far", "z3" },
+				  { "near", "z1" },
+				  { "self", "z2" },
+				  { "best", "z2" },
+				  { "gone", "z2" } };
+	Aw__Instance instances[5];
+	const Aw__Instance *list[5];
+
+	for (int i = 0; i < 5; i++) {
+		instances[i] = AW__INSTANCE__INIT;
+		instances[i].name = (char *)rows[i][0];
+		instances[i].zone = (char *)rows[i][1];
+		instances[i].address = (char *)"127.0.0.1:1";
+		list[i] = &instances[i];
+	}
+	instances[4].state = AW__INSTANCE_STATE__INSTANCE_LEAVING;
+	struct look_question question = { view,	  list, 5,    "10.0.0.1:99",
+					  "self", "z1", true, 10 };
+	struct buf out = BUF_INIT;
+
+	ASSERT_EQ(LOOK_OK, look_answer(&question, &out));
+	std::string text((char *)out.data, out.len_bytes);
+	size_t best = text.find("best"), near = text.find("near"),
+	       far = text.find("far");
+	ASSERT_NE(std::string::npos, best);
+	EXPECT_LT(best, near);
+	EXPECT_LT(near, far);
+	EXPECT_NE(std::string::npos, far);
+	EXPECT_EQ(std::string::npos, text.find("self"));
+	EXPECT_EQ(std::string::npos, text.find("gone"));
+	question.client = "nowhere";
+	EXPECT_EQ(LOOK_ERR_CLIENT, look_answer(&question, &out));
+	buf_release(&out);
+	view_destroy(view);
+}
+
+static struct route_candidate candidate(enum route_group group)
+{
+	struct route_candidate made = {};
+
+	made.address = "127.0.0.1:1";
+	made.zone = made.region = "";
+	made.group = group;
+	made.held_slots = 2;
+	made.link_ok = true;
+	return made;
+}
+
+TEST(Choice, PrefersNearThenCheapAndRespectsLimits)
+{
+	std::vector<struct route_candidate> list(3, candidate(ROUTE_SAME_ZONE));
+	std::vector<enum route_verdict> verdicts(3);
+	struct route_question question = { 1000, false, false, 999 };
+	auto choose = [&] {
+		return route_choose(list.data(), list.size(), &question,
+				    verdicts.data());
+	};
+
+	list[0].group = ROUTE_OTHER_REGION;
+	list[1].group = ROUTE_SAME_REGION;
+	EXPECT_EQ(2, choose());
+	EXPECT_EQ(ROUTE_CROSS_REGION, verdicts[0]);
+	EXPECT_EQ(ROUTE_FARTHER, verdicts[1]);
+	list[2].used_slots = 2;
+	EXPECT_EQ(1, choose());
+	list[1].leaving = true;
+	EXPECT_EQ(-1, choose());
+	question.cross_region = true;
+	EXPECT_EQ(0, choose());
+	list[0].link_ok = false;
+	EXPECT_EQ(-1, choose());
+	EXPECT_EQ(ROUTE_NO_LINK_TOKENS, verdicts[0]);
+
+	list.assign(3, candidate(ROUTE_SAME_ZONE));
+	for (auto &one : list)
+		one.stats.latency_at_ms = 1000;
+	list[0].stats.latency_us = 9000;
+	list[1].stats.latency_us = 2000;
+	list[2].stats.latency_us = 5000;
+	EXPECT_EQ(1, choose());
+	list[1].held_slots = 9;
+	list[1].used_slots = 2;
+	EXPECT_EQ(2, choose());
+	list[2].tried = true;
+	EXPECT_EQ(1, choose());
+	list[1].stats.shed_until_ms = 2000;
+	EXPECT_EQ(0, choose());
+	list[0].used_slots = 2;
+	list[2].used_slots = 2;
+	EXPECT_EQ(1, choose());
+	// A retry never goes to a server that sheds load.
+	question.retry = true;
+	EXPECT_EQ(-1, choose());
+}
+
+// A drained share must not get requests whose draw falls into it.
+TEST(Choice, LeavesOutDrainedShare)
+{
+	struct route_candidate one = candidate(ROUTE_SAME_ZONE);
+	struct route_question question = { 0, false, false, 0 };
+
+	one.drained_permille = 300;
+	question.draw_permille = 299;
+	EXPECT_EQ(-1, route_choose(&one, 1, &question, nullptr));
+	question.draw_permille = 300;
+	EXPECT_EQ(0, route_choose(&one, 1, &question, nullptr));
+	one.drained_permille = 1000;
+	question.draw_permille = 999;
+	EXPECT_EQ(-1, route_choose(&one, 1, &question, nullptr));
+}
+
+// Measurements that condemn more than half of the servers are not believed;
+// a server that announced that it leaves is never used.
+TEST(Choice, KeepsTheFloorOfHalf)
+{
+	struct route_question question = { 1000, false, false, 999 };
+
+	for (size_t nr = 1; nr <= 8; nr++) {
+		std::vector<struct route_candidate> list(
+			nr, candidate(ROUTE_SAME_ZONE));
+		size_t ejected = 0;
+
+		while (route_may_eject(list.data(), nr, 1000))
+			list[ejected++].stats.ejected_until_ms = 2000;
+		EXPECT_EQ(nr / 2, ejected);
+		EXPECT_GE(route_choose(list.data(), nr, &question, nullptr),
+			  (int)ejected);
+		for (auto &one : list)
+			one.silent = true;
+		EXPECT_GE(route_choose(list.data(), nr, &question, nullptr), 0);
+		for (auto &one : list)
+			one.leaving = true;
+		EXPECT_EQ(-1,
+			  route_choose(list.data(), nr, &question, nullptr));
+	}
+	std::vector<struct route_candidate> list(4, candidate(ROUTE_SAME_ZONE));
+	list[0].silent = list[1].silent = true;
+	EXPECT_FALSE(route_may_eject(list.data(), 4, 1000));
+	EXPECT_GE(route_choose(list.data(), 4, &question, nullptr), 2);
+}
+
+TEST(Decision, ExplainsAndForgetsTheOldest)
+{
+	struct dec_ring *ring = dec_create(2);
+	struct cfg_decision policy = { 5, CFG_ORIGIN_DEFAULT, "n", "why" };
+	struct route_candidate list[2] = { candidate(ROUTE_SAME_ZONE),
+					   candidate(ROUTE_SAME_REGION) };
+	enum route_verdict verdicts[2] = { ROUTE_CHOSEN, ROUTE_FARTHER };
+	struct buf out = BUF_INIT;
+
+	for (const char *id : { "a", "b", "c" }) {
+		dec_begin(ring, id, 7);
+		dec_subject(ring, id, "member", "jobs", "u");
+		dec_policy(ring, id, CFG_DEADLINE_MS, &policy);
+		dec_choice(ring, id, list, verdicts, 2, 0, 10, 123);
+		dec_end(ring, id, REFUSAL_RATE, 429, true, 0, 3, "note");
+	}
+	EXPECT_EQ(DEC_ERR_NOT_FOUND, dec_format(ring, "a", &out));
+	ASSERT_EQ(DEC_OK, dec_format(ring, "c", &out));
+	std::string text((char *)out.data, out.len_bytes);
+	for (const char *part :
+	     { "\"reason\":\"why\"", "\"origin\":\"default\"", "farther",
+	       "\"seen_age_ms\":123", "\"refusal\":\"rate\"", "member" })
+		EXPECT_NE(std::string::npos, text.find(part)) << part << text;
+	buf_release(&out);
+	dec_destroy(ring);
+}
