Add the entry instance's side of Report and Grant

The agent holds lease, state, tokens, slots and tables without I/O, so that freezes, late Grants and changes of leader can be tested on a paused clock.

Decided: a Grant whose lease has already ended applies tables and state but neither tokens nor slots, since the leader may have given them to others; slots are dropped when the lease ends; the whole table is sent in every report until a Grant of the new term confirms it; a quarantine stays in force until its time even if a new leader does not name it, and a new leader is told of the crashes that this instance remembers; a report that has had no answer for 2 s no longer counts as one of the four.

--- /dev/null
+++ b/almondward/agent_crashes.c
@@ -0,0 +1,136 @@
+#include "agent_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#define CRASHES_MAX 256
+
+uint64_t agent_report_crash(struct agent *agent,
+			    const uint8_t fingerprint[HASH_BYTES],
+			    const char *address, uint64_t incarnation)
+{
+	struct crash *crash;
+
+	if (agent->nr_crashes == CRASHES_MAX) {
+		crash = agent->crashes;
+		DL_DELETE(agent->crashes, crash);
+		agent->nr_crashes--;
+	} else {
+		crash = malloc(sizeof(*crash));
+		if (!crash)
+			return 0;
+	}
+	memset(crash, 0, sizeof(*crash));
+	crash->ticket = ++agent->next_ticket;
+	memcpy(crash->fingerprint, fingerprint, HASH_BYTES);
+	snprintf(crash->address, sizeof(crash->address), "%s", address);
+	crash->incarnation = incarnation;
+	crash->at_ms = clk_now_ms(agent->clk);
+	DL_APPEND(agent->crashes, crash);
+	agent->nr_crashes++;
+	agent_report_soon(agent);
+	return crash->ticket;
+}
+
+bool agent_crash_decided(const struct agent *agent, uint64_t ticket)
+{
+	const struct crash *crash;
+
+	for (crash = agent->crashes; crash; crash = crash->next) {
+		if (crash->ticket == ticket)
+			return crash->decided;
+	}
+	return true;
+}
+
+void crashes_confirm(struct agent *agent, uint64_t sequence)
+{
+	struct crash *crash;
+
+	for (crash = agent->crashes; crash; crash = crash->next) {
+		if (crash->reported && crash->reported <= sequence)
+			crash->decided = true;
+	}
+}
+
+/*
+ * A new leader starts with an empty list, so an entry that it does not name
+ * stays in force here until its time.
+ */
+void crashes_apply(struct agent *agent, const Aw__Grant *grant)
+{
+	uint64_t now_ms = clk_now_ms(agent->clk);
+	struct quarantine *entry;
+	size_t i;
+
+	for (i = 0; i < grant->n_quarantines; i++) {
+		const Aw__Quarantine *from = grant->quarantines[i];
+
+		if (from->fingerprint.len != HASH_BYTES)
+			continue;
+		HASH_FIND(hh, agent->quarantines, from->fingerprint.data,
+			  HASH_BYTES, entry);
+		if (!entry) {
+			entry = calloc(1, sizeof(*entry));
+			if (!entry)
+				return;
+			memcpy(entry->fingerprint, from->fingerprint.data,
+			       HASH_BYTES);
+			HASH_ADD(hh, agent->quarantines, fingerprint,
+				 HASH_BYTES, entry);
+		}
+		entry->until_ms = now_ms + from->expires_in_ms;
+	}
+}
+
+bool agent_quarantined(const struct agent *agent,
+		       const uint8_t fingerprint[HASH_BYTES])
+{
+	struct quarantine *entry;
+
+	HASH_FIND(hh, agent->quarantines, fingerprint, HASH_BYTES, entry);
+	return entry && entry->until_ms > clk_now_ms(agent->clk);
+}
+
+void crashes_cleanup(struct agent *agent)
+{
+	uint64_t now_ms = clk_now_ms(agent->clk);
+	struct quarantine *entry, *next;
+	struct crash *crash, *next_crash;
+
+	HASH_ITER(hh, agent->quarantines, entry, next)
+	{
+		if (entry->until_ms > now_ms)
+			continue;
+		HASH_DEL(agent->quarantines, entry);
+		free(entry);
+	}
+	DL_FOREACH_SAFE(agent->crashes, crash, next_crash)
+	{
+		if (crash->at_ms + QUARANTINE_MS > now_ms)
+			continue;
+		DL_DELETE(agent->crashes, crash);
+		agent->nr_crashes--;
+		free(crash);
+	}
+}
+
+void crashes_destroy(struct agent *agent)
+{
+	struct quarantine *entry, *next;
+	struct crash *crash, *next_crash;
+
+	HASH_ITER(hh, agent->quarantines, entry, next)
+	{
+		HASH_DEL(agent->quarantines, entry);
+		free(entry);
+	}
+	DL_FOREACH_SAFE(agent->crashes, crash, next_crash)
+	{
+		DL_DELETE(agent->crashes, crash);
+		free(crash);
+	}
+}
--- /dev/null
+++ b/almondward/agent_slots.c
@@ -0,0 +1,177 @@
+#include "agent_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void make_key(const char *address, uint64_t incarnation,
+		     struct slot_key *key)
+{
+	/* All bytes count for the hash. */
+	memset(key, 0, sizeof(*key));
+	snprintf(key->address, sizeof(key->address), "%s", address);
+	key->incarnation = incarnation;
+}
+
+static struct agent_slot *find(struct agent *agent, const char *address,
+			       uint64_t incarnation)
+{
+	struct agent_slot *slot;
+	struct slot_key key;
+
+	make_key(address, incarnation, &key);
+	HASH_FIND(hh, agent->slots, &key, sizeof(key), slot);
+	return slot;
+}
+
+static struct agent_slot *find_current(struct agent *agent, const char *address)
+{
+	struct agent_server *server = agent_server(agent, address);
+
+	return server ? find(agent, address, server->incarnation) : NULL;
+}
+
+/*
+ * Applies a higher target at once, a lower one as slots become free.
+ */
+static void settle(struct agent *agent, struct agent_slot *slot)
+{
+	slot->held = slot->target > slot->used ? slot->target : slot->used;
+	if (slot->held)
+		return;
+	HASH_DEL(agent->slots, slot);
+	free(slot);
+}
+
+static void set_target(struct agent *agent, const Aw__SlotGrant *from)
+{
+	struct agent_slot *slot = find(agent, from->address, from->incarnation);
+
+	if (!slot) {
+		if (!from->slots)
+			return;
+		slot = calloc(1, sizeof(*slot));
+		if (!slot)
+			return;
+		make_key(from->address, from->incarnation, &slot->key);
+		HASH_ADD(hh, agent->slots, key, sizeof(slot->key), slot);
+	}
+	slot->target = from->slots;
+	settle(agent, slot);
+}
+
+void slots_apply(struct agent *agent, const Aw__Grant *grant)
+{
+	size_t i;
+
+	for (i = 0; i < grant->n_slots; i++)
+		set_target(agent, grant->slots[i]);
+}
+
+void slots_drop(struct agent *agent)
+{
+	struct agent_slot *slot, *next;
+
+	HASH_ITER(hh, agent->slots, slot, next)
+	{
+		slot->target = 0;
+		settle(agent, slot);
+	}
+}
+
+void slots_drop_server(struct agent *agent, const char *address,
+		       uint64_t but_incarnation)
+{
+	struct agent_slot *slot, *next;
+
+	HASH_ITER(hh, agent->slots, slot, next)
+	{
+		if (strcmp(slot->key.address, address) != 0 ||
+		    slot->key.incarnation >= but_incarnation)
+			continue;
+		slot->target = 0;
+		settle(agent, slot);
+	}
+}
+
+void slots_destroy(struct agent *agent)
+{
+	struct agent_slot *slot, *next;
+	struct demand *demand, *next_demand;
+
+	HASH_ITER(hh, agent->slots, slot, next)
+	{
+		HASH_DEL(agent->slots, slot);
+		free(slot);
+	}
+	HASH_ITER(hh, agent->demands, demand, next_demand)
+	{
+		HASH_DEL(agent->demands, demand);
+		free(demand);
+	}
+}
+
+struct agent_slot *agent_slot_take(struct agent *agent, const char *address)
+{
+	struct agent_slot *slot = find_current(agent, address);
+
+	/* While used exceeds the target, held is used: nothing is free. */
+	if (!slot || slot->used >= slot->target)
+		return NULL;
+	slot->used++;
+	return slot;
+}
+
+void agent_slot_release(struct agent *agent, struct agent_slot *slot)
+{
+	bool lowers = slot->used > slot->target;
+
+	slot->used--;
+	settle(agent, slot);
+	/* The leader waits for this slot. */
+	if (lowers)
+		agent_report_soon(agent);
+}
+
+void agent_slot_count(struct agent *agent, const char *address, uint32_t *held,
+		      uint32_t *used)
+{
+	struct agent_slot *slot = find_current(agent, address);
+
+	*held = slot ? slot->held : 0;
+	*used = slot ? slot->used : 0;
+}
+
+uint32_t slots_used_of_upstream(struct agent *agent, const char *upstream)
+{
+	struct agent_slot *slot, *next;
+	struct agent_server *server;
+	uint32_t used = 0;
+
+	HASH_ITER(hh, agent->slots, slot, next)
+	{
+		server = agent_server(agent, slot->key.address);
+		if (server && !strcmp(server->upstream, upstream))
+			used += slot->used;
+	}
+	return used;
+}
+
+void agent_set_queued(struct agent *agent, const char *upstream,
+		      uint32_t queued)
+{
+	struct demand *demand;
+
+	HASH_FIND_STR(agent->demands, upstream, demand);
+	if (!demand) {
+		demand = calloc(1, sizeof(*demand));
+		if (!demand)
+			return;
+		snprintf(demand->upstream, sizeof(demand->upstream), "%s",
+			 upstream);
+		HASH_ADD_STR(agent->demands, upstream, demand);
+	}
+	if (queued > demand->queued)
+		agent_report_soon(agent);
+	demand->queued = queued;
+}
--- /dev/null
+++ b/tests/agent_test.cc
@@ -0,0 +1,421 @@
+// Guards the entry instance's side of Report and Grant.
+#include <gtest/gtest.h>
+
+#include "agent_fake.h"
+
+#define CUSTOMER AW__BUCKET_KIND__BUCKET_CUSTOMER
+
+// A lease that counts from the arrival of the Grant would let a withdrawn key
+// work longer than FLEET_LEASE_MS.
+TEST(Agent, LeaseCountsFromTheSendingOfTheReport)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	EXPECT_FALSE(agent_lease_ok(a.agent));
+	a.lead();
+	ASSERT_EQ(1u, a.sent.size());
+	uint64_t first = a.report()->sequence;
+	a.pass(400);
+	parts.with_state = true;
+	parts.sequence = first;
+	a.grant(parts);
+	EXPECT_TRUE(agent_lease_ok(a.agent));
+	clk_advance_ms(a.clk, FLEET_LEASE_MS - 401);
+	EXPECT_TRUE(agent_lease_ok(a.agent));
+	clk_advance_ms(a.clk, 1);
+	EXPECT_FALSE(agent_lease_ok(a.agent));
+}
+
+// After a freeze the answer to an old report must give nothing.
+TEST(Agent, GrantThatArrivesAfterAFreezeGivesNothing)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead();
+	parts.with_state = true;
+	parts.table_version = 1;
+	parts.server("u", "s1", "z1", 1, 1);
+	parts.slot("s1", 1, 2);
+	a.grant(parts);
+	struct agent_slot *slot = agent_slot_take(a.agent, "s1");
+	ASSERT_NE(nullptr, slot);
+	a.pass(500);
+	uint64_t before = a.report()->sequence;
+	clk_advance_ms(a.clk, 60000);
+	AgentFake::GrantParts late;
+	late.sequence = before;
+	late.token("m", 5);
+	late.slot("s1", 1, 4);
+	a.grant(late);
+	EXPECT_FALSE(agent_lease_ok(a.agent));
+	EXPECT_FALSE(agent_take(a.agent, CUSTOMER, "m", 1));
+	EXPECT_EQ(nullptr, agent_slot_take(a.agent, "s1"));
+	// The slot in use stays reported as held until it is free.
+	agent_tick(a.agent);
+	ASSERT_EQ(1u, a.report()->n_slots);
+	EXPECT_EQ(1u, a.report()->slots[0]->held);
+	agent_slot_release(a.agent, slot);
+	a.pass(10);
+	EXPECT_EQ(0u, a.report()->n_slots);
+}
+
+// Going back to an older state would let a withdrawn key work again.
+TEST(Agent, StateOnlyMovesForward)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead();
+	parts.with_state = true;
+	parts.state_version = 9;
+	a.grant(parts);
+	a.pass(500);
+	EXPECT_EQ(9u, a.report()->known_state_version);
+	parts.state_version = 8;
+	a.grant(parts);
+	EXPECT_EQ(9u, view_version(agent_view(a.agent)));
+	// No lease came with the older state either.
+	clk_advance_ms(a.clk, FLEET_LEASE_MS - 500);
+	EXPECT_FALSE(agent_lease_ok(a.agent));
+	a.pass(500);
+	// A newer state that is only named, not sent, gives no lease.
+	parts.with_state = false;
+	parts.state_version = 10;
+	a.grant(parts);
+	EXPECT_FALSE(agent_lease_ok(a.agent));
+	a.pass(500);
+	parts.with_state = true;
+	a.grant(parts);
+	EXPECT_TRUE(agent_lease_ok(a.agent));
+	EXPECT_EQ(10u, view_version(agent_view(a.agent)));
+}
+
+// Repeated, unasked and old Grants must not add anything a second time.
+TEST(Agent, GrantIsAppliedOnce)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead(2);
+	parts.with_state = true;
+	parts.term = 2;
+	parts.token("m", 1);
+	a.grant(parts);
+	a.grant(parts);
+	EXPECT_TRUE(agent_take(a.agent, CUSTOMER, "m", 1));
+	EXPECT_FALSE(agent_take(a.agent, CUSTOMER, "m", 1));
+	a.pass(500);
+	parts.term = 1;
+	a.grant(parts);
+	parts.term = 2;
+	parts.sequence = 4711;
+	a.grant(parts);
+	parts.sequence = 0;
+	parts.from = "c2";
+	a.grant(parts);
+	EXPECT_FALSE(agent_take(a.agent, CUSTOMER, "m", 1));
+}
+
+// A token used after its expiry would exceed the burst of the customer.
+TEST(Agent, TokensExpireFromTheSendingOfTheReport)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead();
+	uint64_t first = a.report()->sequence;
+	clk_advance_ms(a.clk, 300);
+	parts.with_state = true;
+	parts.sequence = first;
+	parts.token("m", 10);
+	a.grant(parts);
+	clk_advance_ms(a.clk, TOKEN_LIFETIME_MS - 301);
+	EXPECT_TRUE(agent_take(a.agent, CUSTOMER, "m", 1));
+	EXPECT_FALSE(agent_take(a.agent, CUSTOMER, "m", 10));
+	clk_advance_ms(a.clk, 1);
+	EXPECT_FALSE(agent_take(a.agent, CUSTOMER, "m", 1));
+	EXPECT_FALSE(agent_take(a.agent, CUSTOMER, "other", 1));
+}
+
+// Used and returned are totals for the Grant that gave the tokens.
+TEST(Agent, ReportsUseAsTotalsAndReturnsTheRest)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead();
+	uint64_t first = a.report()->sequence;
+	parts.with_state = true;
+	parts.token("m", 10);
+	a.grant(parts);
+	a.pass(100);
+	EXPECT_TRUE(agent_take(a.agent, CUSTOMER, "m", 3));
+	for (int i = 0; i < 2; i++) {
+		agent_report_soon(a.agent);
+		a.pass(10);
+		ASSERT_EQ(1u, a.report()->n_tokens);
+		Aw__TokenReport *m = a.report()->tokens[0];
+		ASSERT_EQ(1u, m->n_uses);
+		EXPECT_EQ(first, m->uses[0]->sequence);
+		EXPECT_EQ(1u, m->uses[0]->term);
+		EXPECT_EQ(3u, m->uses[0]->used);
+		EXPECT_EQ(0u, m->uses[0]->returned);
+	}
+	a.pass(500);
+	Aw__TokenUse *use = a.report()->tokens[0]->uses[0];
+	EXPECT_EQ(3u, use->used);
+	EXPECT_GT(use->returned, 0u);
+	uint64_t left = 10 - use->used - use->returned;
+	EXPECT_FALSE(agent_take(a.agent, CUSTOMER, "m", left + 1));
+	EXPECT_TRUE(agent_take(a.agent, CUSTOMER, "m", left));
+}
+
+// Waiting requests ask at once, but not for the same tokens twice and not
+// while the leader has refused.
+TEST(Agent, AsksOnDemandWithinTheLimits)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead();
+	parts.with_state = true;
+	a.grant(parts);
+	a.pass(100);
+	a.grant(AgentFake::GrantParts());
+	a.clear();
+	agent_set_waiting(a.agent, CUSTOMER, "m", 2);
+	a.pass(10, 1);
+	ASSERT_EQ(1u, a.sent.size());
+	EXPECT_EQ(2u, a.report()->tokens[0]->wanted);
+	for (uint64_t n = 3; n < 20; n++) {
+		agent_set_waiting(a.agent, CUSTOMER, "m", n);
+		a.pass(1, 1);
+	}
+	// At most 4 unanswered.
+	a.pass(100, 1);
+	EXPECT_EQ(4u, a.sent.size());
+	AgentFake::GrantParts refused;
+	refused.token("m", 0, 200);
+	a.grant(refused);
+	EXPECT_EQ(200u, agent_retry_after_ms(a.agent, CUSTOMER, "m"));
+	a.clear();
+	a.pass(199, 1);
+	for (Aw__Frame *frame : a.sent) {
+		for (size_t i = 0; i < frame->report->n_tokens; i++)
+			EXPECT_EQ(0u, frame->report->tokens[i]->wanted);
+	}
+	a.pass(2, 1);
+	EXPECT_EQ(0u, agent_retry_after_ms(a.agent, CUSTOMER, "m"));
+	EXPECT_EQ(19u, a.report()->tokens[0]->wanted);
+}
+
+// Charged tokens that were not held are paid from the next Grant, so that the
+// link budget holds over time.
+TEST(Agent, ChargesAndCreditsLinkTokens)
+{
+	const Aw__BucketKind link = AW__BUCKET_KIND__BUCKET_LINK;
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead();
+	parts.with_state = true;
+	parts.token("a>b", 100, 0, link);
+	a.grant(parts);
+	EXPECT_TRUE(agent_take(a.agent, link, "a>b", 60));
+	agent_credit(a.agent, link, "a>b", 10);
+	EXPECT_TRUE(agent_take(a.agent, link, "a>b", 50));
+	EXPECT_FALSE(agent_take(a.agent, link, "a>b", 1));
+	agent_charge(a.agent, link, "a>b", 30);
+	a.pass(500);
+	// Reported totals do not decrease by a later credit.
+	agent_credit(a.agent, link, "a>b", 5);
+	AgentFake::GrantParts more;
+	more.token("a>b", 40, 0, link);
+	a.grant(more);
+	EXPECT_FALSE(agent_take(a.agent, link, "a>b", 16));
+	EXPECT_TRUE(agent_take(a.agent, link, "a>b", 15));
+}
+
+// A lower target applies as slots become free, never below what is in use.
+TEST(Agent, LowerSlotTargetWaitsForFreeSlots)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+	uint32_t held, used;
+
+	a.lead();
+	parts.with_state = true;
+	parts.table_version = 1;
+	parts.server("u", "s1", "z1", 1, 1);
+	parts.slot("s1", 1, 3);
+	a.grant(parts);
+	struct agent_slot *first = agent_slot_take(a.agent, "s1");
+	struct agent_slot *second = agent_slot_take(a.agent, "s1");
+	a.pass(500);
+	AgentFake::GrantParts lower;
+	lower.slot("s1", 1, 1);
+	a.grant(lower);
+	agent_slot_count(a.agent, "s1", &held, &used);
+	EXPECT_EQ(2u, held);
+	EXPECT_EQ(nullptr, agent_slot_take(a.agent, "s1"));
+	agent_slot_release(a.agent, first);
+	agent_slot_count(a.agent, "s1", &held, &used);
+	EXPECT_EQ(1u, held);
+	EXPECT_EQ(nullptr, agent_slot_take(a.agent, "s1"));
+	// A new incarnation starts without slots.
+	struct agent_announcement again = { "u", "s1", "z1", 4, 2, 1 };
+	EXPECT_EQ(AGENT_ANNOUNCED, agent_announce(a.agent, &again));
+	EXPECT_EQ(nullptr, agent_slot_take(a.agent, "s1"));
+	agent_slot_release(a.agent, second);
+	agent_slot_count(a.agent, "s1", &held, &used);
+	EXPECT_EQ(0u, held);
+}
+
+// An old announcement that arrives late must not bring a server back.
+TEST(Agent, LeaveIsFinalForItsIncarnation)
+{
+	AgentFake a;
+	struct agent_announcement from = { "u", "s1", "z1", 4, 5, 10 };
+
+	EXPECT_EQ(AGENT_ANNOUNCED, agent_announce(a.agent, &from));
+	from.sequence = 9;
+	EXPECT_EQ(AGENT_STALE, agent_announce(a.agent, &from));
+	from.incarnation = 4;
+	EXPECT_EQ(AGENT_STALE, agent_announce(a.agent, &from));
+	EXPECT_EQ(AGENT_ANNOUNCED, agent_leave(a.agent, "s1", 5, 11));
+	EXPECT_EQ(AGENT_ANNOUNCED, agent_leave(a.agent, "s1", 5, 11));
+	from.incarnation = 5;
+	from.sequence = 12;
+	EXPECT_EQ(AGENT_LEFT, agent_announce(a.agent, &from));
+	a.lead();
+	AgentFake::GrantParts parts;
+	parts.with_state = true;
+	parts.table_version = 1;
+	parts.server("u", "s1", "z1", 5, 12);
+	a.grant(parts);
+	EXPECT_TRUE(agent_server(a.agent, "s1")->leaving);
+	// The tombstone outlives tables that do not name it, for 10 min.
+	a.pass(500);
+	AgentFake::GrantParts empty;
+	empty.table_version = 2;
+	a.grant(empty);
+	a.pass(TOMBSTONE_MS - 2000, 1000);
+	EXPECT_NE(nullptr, agent_server(a.agent, "s1"));
+	a.pass(3000, 1000);
+	EXPECT_EQ(nullptr, agent_server(a.agent, "s1"));
+	from.incarnation = 6;
+	EXPECT_EQ(AGENT_ANNOUNCED, agent_announce(a.agent, &from));
+}
+
+// A new leader knows no servers; it must be told all, tombstones included,
+// until it has confirmed a report with them.
+TEST(Agent, NewTermGetsTheWholeTable)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+	struct agent_announcement from = { "u", "s1", "z1", 4, 1, 1 };
+
+	a.lead();
+	agent_leave(a.agent, "gone", 1, 1);
+	agent_announce(a.agent, &from);
+	parts.with_state = true;
+	parts.table_version = 7;
+	a.grant(parts);
+	a.pass(10);
+	EXPECT_TRUE(a.report()->whole_table);
+	EXPECT_EQ(2u, a.report()->n_servers);
+	parts.table_version = 8;
+	parts.server("u", "s1", "z1", 1, 1);
+	parts.server("u", "gone", "z1", 1, 1, AW__SERVER_STATE__SERVER_LEAVING);
+	a.grant(parts);
+	a.pass(500);
+	EXPECT_FALSE(a.report()->whole_table);
+	EXPECT_EQ(0u, a.report()->n_servers);
+	EXPECT_EQ(8u, a.report()->known_table_version);
+	a.lead(2, "c2");
+	AgentFake::GrantParts next;
+	next.term = 2;
+	next.from = "c2";
+	next.table_version = 8;
+	a.grant(next);
+	// The empty table of the new leader removes nothing yet.
+	EXPECT_NE(nullptr, agent_server(a.agent, "s1"));
+	a.pass(10);
+	EXPECT_EQ("c2", a.sent_to.back());
+	EXPECT_TRUE(a.report()->whole_table);
+	EXPECT_EQ(2u, a.report()->n_servers);
+	a.pass(500);
+	EXPECT_TRUE(a.report()->whole_table);
+}
+
+// The retry waits for the leader's decision on the crash.
+TEST(Agent, CrashIsDecidedByTheAnswerToItsReport)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+	uint8_t fingerprint[HASH_BYTES] = { 1 };
+
+	a.lead();
+	parts.with_state = true;
+	uint64_t before = a.report()->sequence;
+	uint64_t ticket = agent_report_crash(a.agent, fingerprint, "s1", 1);
+	a.pass(10);
+	ASSERT_EQ(1u, a.report()->n_crashes);
+	parts.sequence = before;
+	a.grant(parts);
+	EXPECT_FALSE(agent_crash_decided(a.agent, ticket));
+	Aw__Quarantine one = AW__QUARANTINE__INIT;
+	one.fingerprint.data = fingerprint;
+	one.fingerprint.len = HASH_BYTES;
+	one.expires_in_ms = 1000;
+	AgentFake::GrantParts verdict;
+	verdict.table_version = 1;
+	verdict.quarantines.push_back(one);
+	a.grant(verdict);
+	EXPECT_TRUE(agent_crash_decided(a.agent, ticket));
+	EXPECT_TRUE(agent_quarantined(a.agent, fingerprint));
+	clk_advance_ms(a.clk, 1000);
+	EXPECT_FALSE(agent_quarantined(a.agent, fingerprint));
+}
+
+static void note_result(void *arg, const Aw__OpResult *result, bool sent)
+{
+	*(int *)arg = result ? (int)result->code : sent ? -1 : -2;
+}
+
+// A lost reply or a change of leader must not lose a release or a claim.
+TEST(Agent, CallsAreResentUntilApplied)
+{
+	AgentFake a;
+	Aw__Op op = AW__OP__INIT;
+	Aw__OpNoop noop = AW__OP_NOOP__INIT;
+	int first = 100, second = 100, third = 100;
+
+	op.body_case = AW__OP__BODY_NOOP;
+	op.noop = &noop;
+	agent_propose(a.agent, &op, 1500, note_result, &first);
+	a.pass(500);
+	EXPECT_EQ(-2, first);
+	uint64_t call =
+		agent_propose(a.agent, &op, 60000, note_result, &second);
+	a.lead();
+	EXPECT_EQ(1u, a.count(AW__FRAME__BODY_PROPOSE));
+	a.reply(call, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER);
+	a.pass(100);
+	EXPECT_EQ(2u, a.count(AW__FRAME__BODY_PROPOSE));
+	a.lead(2, "c2");
+	EXPECT_EQ(3u, a.count(AW__FRAME__BODY_PROPOSE));
+	EXPECT_EQ("c2", a.sent_to.back());
+	a.pass(2000);
+	EXPECT_EQ(4u, a.count(AW__FRAME__BODY_PROPOSE));
+	a.reply(call, AW__PROPOSE_STATUS__PROPOSE_APPLIED);
+	EXPECT_EQ((int)AW__OP_CODE__OP_DONE, second);
+	a.reply(call, AW__PROPOSE_STATUS__PROPOSE_APPLIED);
+	agent_propose(a.agent, &op, clk_now_ms(a.clk) + 50, note_result,
+		      &third);
+	a.pass(50);
+	EXPECT_EQ(-1, third);
+	EXPECT_EQ(0u, agent_calls(a.agent));
+}
