Add settings, configuration document and keys

The settings file and the configuration document share one reader on libyaml's document API. Aliases, repeated names and several documents are errors: libyaml accepts the first two, and a value that is silently overridden or expanded would reach the whole fleet.

--- a/almondward/config.h
+++ b/almondward/config.h
@@ -9,6 +9,7 @@
 #ifndef CONFIG_H
 #define CONFIG_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -52,6 +53,16 @@
  */
 enum cfg_setting cfg_setting_by_name(const char *name);
 
+/*
+ * True if name has 1 to 63 characters of a-z, 0-9, '.', '_' and '-'.
+ */
+bool cfg_name_valid(const char *name);
+
+/*
+ * Checks a written reason: 1 to 511 bytes of UTF-8 without control characters.
+ */
+bool cfg_reason_valid(const char *reason);
+
 enum cfg_error {
 	CFG_OK,
 	CFG_ERR_MEMORY,
@@ -60,8 +71,9 @@
 };
 
 /*
- * Parses a YAML document. On error writes "file:line: cause" with the name of
- * the object and the allowed range to error_text. *config is freed by
+ * Parses a YAML document and checks its rules as cfg_check() does. On error
+ * writes "file:line: cause" with the name of the object and the allowed range
+ * to error_text. The version is not part of the document. *config is freed by
  * aw__config__free_unpacked(config, NULL).
  */
 enum cfg_error cfg_parse_yaml(const char *file_name, const char *text,
