Add the command line and the program

Commands need loop, http and the roles only through struct cli_env, so their tests run without them and the library links before those modules are there. The Makefile builds the program once all of its parts exist; until then main.c is compiled and linted only.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,11 @@
 OBJ = $(SRC:%.c=$(BUILD)/%.o) $(GENERATED:%.c=$(BUILD)/%.o)
 SAN_OBJ = $(SRC:%.c=$(BUILD)/san/%.o) $(GENERATED:%.c=$(BUILD)/san/%.o)
 TESTS = $(TEST_SRC:tests/%.cc=$(BUILD)/tests/%)
-PROGRAMS = $(if $(wildcard $(MAIN)),$(BUILD)/almondward) \
+# The program links only once all modules that it starts are there.
+MAIN_PARTS = almondward/control.c almondward/entry.c almondward/http.c \
+	almondward/loop.c almondward/store.c
+PROGRAMS = $(if $(filter-out $(wildcard $(MAIN_PARTS)),$(MAIN_PARTS)),, \
+	$(BUILD)/almondward) \
 	$(if $(wildcard testserver/testserver.c),$(BUILD)/testserver) \
 	$(if $(wildcard loadgen/loadgen.c),$(BUILD)/loadgen)
 
@@ -34,7 +38,7 @@
 LINTED = $(SRC) $(wildcard $(MAIN)) $(TOOL_SRC)
 MANUALS = $(wildcard almondward/*.8 almondward/*.5)
 
-all: $(BUILD)/libalmondward.a $(PROGRAMS)
+all: $(BUILD)/libalmondward.a $(BUILD)/$(MAIN:.c=.o) $(PROGRAMS)
 
 $(BUILD)/almondward/almondward.pb-c.o: CFLAGS := -std=gnu11 -O2 -g
 $(BUILD)/san/almondward/almondward.pb-c.o: CFLAGS := -std=gnu11 -O2 -g
--- /dev/null
+++ b/almondward/cli_print.c
@@ -0,0 +1,190 @@
+#include "cli_internal.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define COLUMNS_MAX 24
+#define INDENT 2
+
+/*
+ * Text of one cell; freed by the caller, NULL when memory is exhausted.
+ */
+static char *cell_text(const cJSON *value)
+{
+	char *text, *pos;
+
+	if (!value || cJSON_IsNull(value))
+		text = strdup("-");
+	else if (cJSON_IsString(value))
+		text = strdup(*value->valuestring ? value->valuestring : "-");
+	else
+		text = cJSON_PrintUnformatted(value);
+	/* Text from the network must not move the cursor of a terminal. */
+	for (pos = text; pos && *pos; pos++) {
+		if ((unsigned char)*pos < ' ' || *pos == 0x7f)
+			*pos = '?';
+	}
+	return text;
+}
+
+static size_t cell_width(const cJSON *value)
+{
+	char *text = cell_text(value);
+	size_t width = text ? strlen(text) : 0;
+
+	free(text);
+	return width;
+}
+
+static void print_cell(FILE *out, const cJSON *value, size_t width, bool last)
+{
+	char *text = cell_text(value);
+
+	if (last)
+		fprintf(out, "%s\n", text ? text : "");
+	else
+		fprintf(out, "%-*s  ", (int)width, text ? text : "");
+	free(text);
+}
+
+struct table {
+	const char *names[COLUMNS_MAX];
+	size_t widths[COLUMNS_MAX];
+	size_t nr;
+};
+
+static size_t table_column(struct table *table, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < table->nr; i++) {
+		if (!strcmp(table->names[i], name))
+			return i;
+	}
+	if (i == COLUMNS_MAX)
+		return i;
+	table->names[i] = name;
+	table->widths[i] = strlen(name);
+	table->nr++;
+	return i;
+}
+
+static void measure_table(struct table *table, const cJSON *rows)
+{
+	const cJSON *row, *cell;
+	size_t i, width;
+
+	cJSON_ArrayForEach(row, rows)
+	{
+		cJSON_ArrayForEach(cell, row)
+		{
+			i = table_column(table, cell->string);
+			width = cell_width(cell);
+			if (i < COLUMNS_MAX && width > table->widths[i])
+				table->widths[i] = width;
+		}
+	}
+}
+
+static void print_table(FILE *out, const cJSON *rows, int indent)
+{
+	struct table table = { .nr = 0 };
+	const cJSON *row;
+	const char *pos;
+	size_t i;
+	int pad;
+
+	measure_table(&table, rows);
+	fprintf(out, "%*s", indent, "");
+	for (i = 0; i < table.nr; i++) {
+		for (pos = table.names[i]; *pos; pos++)
+			fputc(toupper((unsigned char)*pos), out);
+		pad = (int)(table.widths[i] - strlen(table.names[i])) + 2;
+		fprintf(out, "%*s", i + 1 < table.nr ? pad : 0, "");
+	}
+	fputc('\n', out);
+	cJSON_ArrayForEach(row, rows)
+	{
+		fprintf(out, "%*s", indent, "");
+		for (i = 0; i < table.nr; i++)
+			print_cell(out,
+				   cJSON_GetObjectItemCaseSensitive(
+					   row, table.names[i]),
+				   table.widths[i], i + 1 == table.nr);
+	}
+}
+
+static bool is_table(const cJSON *value)
+{
+	return cJSON_IsArray(value) && cJSON_IsObject(value->child) &&
+	       value->child->child;
+}
+
+static void print_object(FILE *out, const cJSON *object, int indent);
+
+static void print_member(FILE *out, const cJSON *member, size_t width,
+			 int indent)
+{
+	bool nested = cJSON_IsObject(member) || is_table(member);
+
+	if (!nested) {
+		fprintf(out, "%*s%-*s  ", indent, "", (int)width,
+			member->string);
+		if (cJSON_IsArray(member) && !member->child)
+			fputs("none\n", out);
+		else
+			print_cell(out, member, 0, true);
+		return;
+	}
+	fprintf(out, "%*s%s:\n", indent, "", member->string);
+	if (cJSON_IsObject(member))
+		print_object(out, member, indent + INDENT);
+	else
+		print_table(out, member, indent + INDENT);
+}
+
+/*
+ * The depth is bounded by that of the parser, CJSON_NESTING_LIMIT.
+ */
+static void print_object(FILE *out, const cJSON *object, int indent)
+{
+	const cJSON *member;
+	size_t width = 0;
+
+	cJSON_ArrayForEach(member, object)
+	{
+		if (!cJSON_IsObject(member) && !is_table(member) &&
+		    strlen(member->string) > width)
+			width = strlen(member->string);
+	}
+	cJSON_ArrayForEach(member, object)
+		print_member(out, member, width, indent);
+}
+
+void cli_print_text(FILE *out, const cJSON *value)
+{
+	if (cJSON_IsObject(value))
+		print_object(out, value, 0);
+	else if (is_table(value))
+		print_table(out, value, 0);
+	else
+		print_cell(out, value, 0, true);
+}
+
+int cli_print_reply(struct cli *cli, const struct cli_reply *reply)
+{
+	const char *text = (const char *)reply->body.data;
+	cJSON *json = cJSON_Parse(text);
+
+	if (!json)
+		return cli_fail(cli, CLI_UNREACHABLE,
+				"the answer is not JSON: not a control or "
+				"entry instance");
+	if (cli->options[OPT_JSON])
+		fprintf(cli->env->out, "%s\n", text);
+	else
+		cli_print_text(cli->env->out, json);
+	cJSON_Delete(json);
+	return CLI_DONE;
+}
--- a/almondward/settings.c
+++ b/almondward/settings.c
@@ -51,10 +51,7 @@
 	struct set_settings *settings;
 };
 
-/*
- * Parses "IP:port" or "[IP6]:port". Returns the cause of an error or NULL.
- */
-static const char *check_address(const char *text, bool *is_wildcard)
+const char *set_address_fault(const char *text, bool *is_wildcard)
 {
 	char host[ADDRESS_BYTES_MAX];
 	const char *colon = strrchr(text, ':');
@@ -96,7 +93,7 @@
 
 	if (!doc_string(&reader->doc, node, what, &text))
 		return false;
-	cause = check_address(text, &is_wildcard);
+	cause = set_address_fault(text, &is_wildcard);
 	if (!cause && is_wildcard && !allow_wildcard)
 		cause = "must be an address that others can connect to";
 	if (cause)
@@ -254,7 +251,7 @@
 	       ADDRESS_BYTES_MAX);
 	if (!entry)
 		return true;
-	check_address(settings->advertise_callers, &is_wildcard);
+	set_address_fault(settings->advertise_callers, &is_wildcard);
 	if (is_wildcard)
 		return doc_fail(&reader->doc,
 				doc_line(reader->fields[F_LISTEN]),
--- a/almondward/settings.h
+++ b/almondward/settings.h
@@ -58,6 +58,12 @@
 enum set_error set_load(const char *path, struct set_settings *settings,
 			char *error_text, size_t error_text_bytes);
 
+/*
+ * Returns why text is not "IP:port" or "[IP6]:port" with a port from 1 to
+ * 65535, or NULL. A wildcard is the address of all interfaces.
+ */
+const char *set_address_fault(const char *text, bool *is_wildcard);
+
 #ifdef __cplusplus
 }
 #endif
