--- a/almondward/key.h
+++ b/almondward/key.h
@@ -1,5 +1,8 @@
 /*
- * key: callers' keys: form, hash, and search for misplaced ones.
+ * key: callers' keys.
+ *
+ * A key is "aw1_" and 32 random bytes in base64url without padding. Only its
+ * hash is sent to the system and stored.
  */
 #ifndef KEY_H
 #define KEY_H
@@ -14,24 +17,37 @@
 extern "C" {
 #endif
 
-#define KEY_TEXT_BYTES 47 /* "aw1_" and 43 base64url characters, without NUL */
+#define KEY_PREFIX "aw1_"
+#define KEY_CHARS 47 /* prefix and 43 base64url characters */
+#define KEY_TEXT_BYTES (KEY_CHARS + 1) /* with NUL */
+#define KEY_DECODE_ROUNDS 3
 
 /*
- * True if the whole text has the form of a key.
+ * Writes a new random key. Returns 0, or -1 when libsodium cannot be
+ * initialized.
  */
-bool key_has_form(const char *text, size_t len_bytes);
+int key_generate(char text[KEY_TEXT_BYTES]);
+
+/*
+ * True if text has the form of a key.
+ */
+bool key_well_formed(const char *text);
 
 /*
- * Hash under which a key is stored.
+ * Hashes the whole text of the key, prefix included.
  */
-void key_hash(const char *key, uint8_t hash[HASH_BYTES]);
+void key_hash(const char *text, uint8_t hash[HASH_BYTES]);
+
+/*
+ * True if these characters have the form of a key.
+ */
+bool key_has_form(const char *text, size_t len_bytes);
 
 /*
  * True if anything that has the form of a key appears in the text, also after
  * up to KEY_DECODE_ROUNDS rounds of percent-decoding. True as well when memory
  * for decoding is exhausted: what cannot be checked is not forwarded.
  */
-#define KEY_DECODE_ROUNDS 3
 bool key_in_text(const char *text, size_t len_bytes);
 
 /*
