--- a/Makefile
+++ b/Makefile
@@ -21,11 +21,11 @@
 HDR = $(wildcard almondward/*.h)
 TEST_SRC = $(wildcard tests/*_test.cc)
 
-OBJ = $(SRC:%.c=$(BUILD)/%.o) $(GENERATED:%.c=$(BUILD)/%.o)
+OBJ = $(SRC:%.c=$(BUILD)/obj/%.o) $(GENERATED:%.c=$(BUILD)/obj/%.o)
 SAN_OBJ = $(SRC:%.c=$(BUILD)/san/%.o) $(GENERATED:%.c=$(BUILD)/san/%.o)
 TESTS = $(TEST_SRC:tests/%.cc=$(BUILD)/tests/%)
 # The program links only once all modules that it starts are there.
-MAIN_PARTS = almondward/control.c almondward/entry.c almondward/http.c \
+MAIN_PARTS = almondward/control.c almondward/entry.c almondward/http_server.c \
 	almondward/loop.c almondward/store.c
 PROGRAMS = $(if $(filter-out $(wildcard $(MAIN_PARTS)),$(MAIN_PARTS)),, \
 	$(BUILD)/almondward) \
@@ -38,12 +38,12 @@
 LINTED = $(SRC) $(wildcard $(MAIN)) $(TOOL_SRC)
 MANUALS = $(wildcard almondward/*.8 almondward/*.5)
 
-all: $(BUILD)/libalmondward.a $(BUILD)/$(MAIN:.c=.o) $(PROGRAMS)
+all: $(BUILD)/libalmondward.a $(BUILD)/obj/$(MAIN:.c=.o) $(PROGRAMS)
 
-$(BUILD)/almondward/almondward.pb-c.o: CFLAGS := -std=gnu11 -O2 -g
+$(BUILD)/obj/almondward/almondward.pb-c.o: CFLAGS := -std=gnu11 -O2 -g
 $(BUILD)/san/almondward/almondward.pb-c.o: CFLAGS := -std=gnu11 -O2 -g
 
-$(BUILD)/%.o: %.c $(HDR)
+$(BUILD)/obj/%.o: %.c $(HDR)
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -c -o $@ $<
 
@@ -57,9 +57,9 @@
 $(BUILD)/libalmondward-san.a: $(SAN_OBJ)
 	rm -f $@ && ar rcs $@ $^
 
-$(BUILD)/almondward: $(BUILD)/$(MAIN:.c=.o) $(BUILD)/libalmondward.a
-$(BUILD)/testserver: $(BUILD)/testserver/testserver.o $(BUILD)/libalmondward.a
-$(BUILD)/loadgen: $(patsubst %.c,$(BUILD)/%.o,$(wildcard loadgen/*.c)) \
+$(BUILD)/almondward: $(BUILD)/obj/$(MAIN:.c=.o) $(BUILD)/libalmondward.a
+$(BUILD)/testserver: $(BUILD)/obj/testserver/testserver.o $(BUILD)/libalmondward.a
+$(BUILD)/loadgen: $(patsubst %.c,$(BUILD)/obj/%.o,$(wildcard loadgen/*.c)) \
 	$(BUILD)/libalmondward.a
 $(PROGRAMS):
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
