--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,6 +3,7 @@
 The processes are started, stopped, frozen and cut by the script; the binary
 itself starts no process. Every process is ended by its own id.
 """
+import collections
 import http.client
 import json
 import os
@@ -159,8 +160,10 @@
 class Relay:
     """A TCP relay in a thread whose link can be cut in either direction."""
 
-    def __init__(self, target):
+    def __init__(self, target, delay_s=0.0):
         self.target = target
+        self.delay_s = delay_s     # one way
+        self.queue = collections.deque()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(("127.0.0.1", 0))
@@ -216,9 +219,11 @@
             socks = [s for p in pairs for s in p if s.fileno() >= 0]
             watch = socks if self.refuse else socks + [self.listener]
             try:
-                ready, _, _ = select.select(watch, [], [], 0.02)
+                ready, _, _ = select.select(watch, [], [], 0.001 if self.queue
+                                            else 0.02)
             except (OSError, ValueError):
                 continue
+            self._send_due()
             if self.listener in ready:
                 self._accept()
             for a, b in pairs:
@@ -229,10 +234,21 @@
                     self._move(src, dst, cut or (a, b) in self.stalled, (a, b))
         self.listener.close()
 
+    def _send_due(self):
+        now = time.monotonic()
+        while self.queue and self.queue[0][0] <= now:
+            _, dst, data = self.queue.popleft()
+            try:
+                dst.sendall(data)
+            except OSError:
+                pass
+
     def _move(self, src, dst, cut, pair):
         try:
             data = src.recv(65536)
-            if data and not cut:
+            if data and not cut and self.delay_s:
+                self.queue.append((time.monotonic() + self.delay_s, dst, data))
+            elif data and not cut:
                 dst.sendall(data)
         except OSError:
             data = b""
@@ -246,7 +262,9 @@
 class Fleet:
     """Control instances, entry instances and stand-in backend servers."""
 
-    def __init__(self, build, controls=3, entries=3, relays=False, config=CONFIG):
+    def __init__(self, build, controls=3, entries=3, relays=False, config=CONFIG,
+                 delay_s=None):
+        """delay_s(zone, zone) gives the one way delay of control links."""
         self.build = pathlib.Path(build).resolve()
         self.binary = self.build / "almondward"
         self.tmp = tempfile.TemporaryDirectory(prefix="almondward-")
@@ -274,8 +292,10 @@
             for name in self.control_names + self.entry_names:
                 for control in self.control_names:
                     if control != name:
+                        delay = delay_s(self.zone_of[name],
+                                        self.zone_of[control]) if delay_s else 0
                         self.relays[(name, control)] = Relay(
-                            self.peer_address[control])
+                            self.peer_address[control], delay)
         for name in self.control_names + self.entry_names:
             self._write_settings(name)
 
--- a/testserver/testserver.c
+++ b/testserver/testserver.c
@@ -36,9 +36,19 @@
 #define ANNOUNCE_MS 1000
 #define ANNOUNCE_TIMEOUT_MS 900
 #define LEAVE_LINGER_MS 4000
+#define DELAYS_MAX 32
 #define BODY_BYTES_MAX (64 << 20)
 #define ANSWER_BYTES_MAX (32 << 20)
 
+/*
+ * Round trip of the network to one entry instance, added to each answer.
+ */
+struct delay {
+	const char *instance;
+	size_t name_bytes;
+	uint32_t round_trip_ms;
+};
+
 struct options {
 	const char *listen;
 	const char *advertise; /* default: the address listened on */
@@ -51,6 +61,8 @@
 	uint32_t work_ms;
 	uint32_t jitter_permille;
 	uint32_t answer_bytes;
+	struct delay delays[DELAYS_MAX];
+	size_t nr_delays;
 };
 
 /*
@@ -82,7 +94,7 @@
 	size_t answer_bytes;
 	size_t body_bytes;
 	char body_hash[2 * crypto_generichash_BYTES + 1];
-	bool aborted;
+	bool works; /* holds a slot */
 	struct job *next;
 };
 
@@ -198,7 +210,8 @@
 static void job_free(struct job *job)
 {
 	unlink_job(job);
-	job->server->busy--;
+	if (job->works)
+		job->server->busy--;
 	loop_timer_destroy(job->timer);
 	free(job);
 }
@@ -209,7 +222,6 @@
 
 	/* The work goes on until it is cancelled, as in a real server. */
 	job->exchange = NULL;
-	job->aborted = true;
 	if (job->fault == FAULT_SILENT)
 		job_free(job);
 }
@@ -261,10 +273,37 @@
 	buf_release(&body);
 }
 
+/*
+ * The request id begins with the name of the entry instance and '-'.
+ */
+static uint32_t round_trip_ms(const struct options *options, const char *echo)
+{
+	size_t i;
+
+	for (i = 0; i < options->nr_delays; i++) {
+		const struct delay *delay = &options->delays[i];
+
+		if (!strncmp(echo, delay->instance, delay->name_bytes) &&
+		    echo[delay->name_bytes] == '-')
+			return delay->round_trip_ms;
+	}
+	return 0;
+}
+
 static void job_done(void *arg)
 {
 	struct job *job = arg;
-
+	uint32_t delay_ms;
+
+	if (job->works) {
+		job->works = false;
+		job->server->busy--;
+		delay_ms = round_trip_ms(&job->server->options, job->echo);
+		if (delay_ms) {
+			loop_timer_set(job->timer, delay_ms);
+			return;
+		}
+	}
 	if (job->exchange)
 		answer_job(job);
 	job_free(job);
@@ -346,6 +385,7 @@
 	if (job->fault == FAULT_CRASH)
 		_exit(3);
 	server->busy++;
+	job->works = true;
 	job->next = server->jobs;
 	server->jobs = job;
 	job->timer = loop_timer_create(server->loop, job_done, job);
@@ -523,7 +563,8 @@
 	OPT_ENTRY = 'e',
 	OPT_TOKEN = 't',
 	OPT_ANSWER = 'a',
-	OPT_JITTER = 'j'
+	OPT_JITTER = 'j',
+	OPT_DELAY = 'd'
 };
 
 static const struct argp_option argp_options[] = {
@@ -536,6 +577,8 @@
 	{ "work-ms", OPT_WORK, "MS", 0, "time that a request takes", 0 },
 	{ "jitter", OPT_JITTER, "PERMILLE", 0, "random addition to it", 0 },
 	{ "answer-bytes", OPT_ANSWER, "N", 0, "size of an answer", 0 },
+	{ "delay", OPT_DELAY, "INSTANCE=MS", 0,
+	  "round trip to that entry instance, can be repeated", 0 },
 	{ "entry", OPT_ENTRY, "IP:PORT", 0,
 	  "where to announce, can be repeated", 0 },
 	{ "token-file", OPT_TOKEN, "FILE", 0, "announce token", 0 },
@@ -569,6 +612,22 @@
 	return token;
 }
 
+static void parse_delay(struct argp_state *state, const char *arg)
+{
+	struct options *options = state->input;
+	const char *equals = strchr(arg, '=');
+	struct delay *delay = &options->delays[options->nr_delays];
+
+	if (!equals || options->nr_delays == DELAYS_MAX) {
+		argp_error(state, "\"%s\" is not INSTANCE=MS", arg);
+		return;
+	}
+	delay->instance = arg;
+	delay->name_bytes = (size_t)(equals - arg);
+	delay->round_trip_ms = parse_number(state, equals + 1, 60000);
+	options->nr_delays++;
+}
+
 static error_t parse_option(int key, char *arg, struct argp_state *state)
 {
 	struct options *options = state->input;
@@ -599,6 +658,9 @@
 		options->answer_bytes =
 			parse_number(state, arg, ANSWER_BYTES_MAX);
 		break;
+	case OPT_DELAY:
+		parse_delay(state, arg);
+		break;
 	case OPT_ENTRY:
 		if (options->nr_entries == ENTRIES_MAX)
 			argp_error(state, "more than %d entries", ENTRIES_MAX);
