--- a/almondward/http_private.h
+++ b/almondward/http_private.h
@@ -9,6 +9,10 @@
 #include "buf.h"
 #include "http.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 enum msg_status {
 	MSG_MORE, /* all bytes are used, the message is not complete */
 	MSG_HEAD, /* the head has just become complete */
@@ -104,4 +108,8 @@
 			const char *detail, const char *request_id,
 			bool not_run, uint32_t retry_after_ms);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -317,8 +317,13 @@
 	if (sent_bytes < len_bytes) {
 		err = queue(conn, (const uint8_t *)data + sent_bytes,
 			    len_bytes - sent_bytes);
-		if (err)
+		if (err && !sent_bytes)
 			return err;
+		/* Nothing may follow data of which the end is lost. */
+		if (err) {
+			write_failed(conn);
+			return LOOP_ERR_CLOSED;
+		}
 	}
 	if (loop_conn_queued_bytes(conn)) {
 		conn->notify_drained = true;
--- /dev/null
+++ b/tests/frame_test.cc
@@ -0,0 +1,151 @@
+// Guards the framing: nothing but the next frame of the sender is accepted.
+#include <random>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "frame.h"
+
+namespace
+{
+
+const struct frame_key KEY = { { 1, 2, 3 } };
+
+std::string ping(struct frame_writer *writer, const std::string &leader)
+{
+	Aw__Ping ping = AW__PING__INIT;
+	Aw__Frame frame = AW__FRAME__INIT;
+	struct buf out = BUF_INIT;
+
+	ping.leader = (char *)leader.c_str();
+	frame.body_case = AW__FRAME__BODY_PING;
+	frame.ping = &ping;
+	EXPECT_EQ(FRAME_OK, frame_write(writer, &frame, &out));
+	std::string bytes((char *)out.data, out.len_bytes);
+	buf_release(&out);
+	return bytes;
+}
+
+// Reads until the end or an error; returns the bodies of the frames.
+std::vector<std::string> read_all(const std::string &bytes, size_t piece_bytes,
+				  enum frame_error *error,
+				  size_t max_bytes = 1000)
+{
+	struct frame_reader *reader = frame_reader_create(&KEY, max_bytes);
+	std::vector<std::string> bodies;
+	size_t at = 0, used, len;
+
+	*error = FRAME_MORE;
+	while (at < bytes.size()) {
+		size_t left = std::min(piece_bytes, bytes.size() - at);
+
+		*error = frame_read(reader, (const uint8_t *)bytes.data() + at,
+				    left, &used);
+		if (*error != FRAME_OK && *error != FRAME_MORE)
+			break;
+		at += used;
+		if (*error == FRAME_OK) {
+			const uint8_t *body = frame_reader_body(reader, &len);
+			bodies.push_back(std::string((const char *)body, len));
+		}
+	}
+	frame_reader_destroy(reader);
+	return bodies;
+}
+
+} // namespace
+
+TEST(Frame, RoundTripInAnyPieces)
+{
+	struct frame_writer writer = { KEY, 0 };
+	std::string bytes = ping(&writer, "a");
+	enum frame_error error;
+
+	bytes += ping(&writer, "");
+	bytes += ping(&writer, std::string(500, 'c'));
+	for (size_t piece = 1; piece <= bytes.size(); piece++) {
+		auto bodies = read_all(bytes, piece, &error);
+
+		EXPECT_EQ(FRAME_OK, error);
+		ASSERT_EQ(3u, bodies.size()) << piece;
+		EXPECT_EQ(std::string(500, 'c'),
+			  bodies[2].substr(bodies[2].size() - 500));
+	}
+}
+
+TEST(Frame, FaultsHaveTheirOwnErrors)
+{
+	struct frame_writer writer = { KEY, 0 }, other = { { { 9 } }, 0 };
+	std::string a = ping(&writer, "a"), b = ping(&writer, "b");
+	std::string foreign = ping(&other, "a"), version = a, longer = a;
+
+	version[4]++;
+	longer[2] = 5;
+	const struct {
+		const char *name;
+		std::string bytes;
+		enum frame_error error;
+		size_t frames;
+	} rows[] = {
+		{ "truncated", a.substr(0, a.size() - 1), FRAME_MORE, 0 },
+		{ "repeated", a + a, FRAME_ERR_SEQUENCE, 1 },
+		{ "first one lost", b, FRAME_ERR_SEQUENCE, 0 },
+		{ "reordered", b + a, FRAME_ERR_SEQUENCE, 0 },
+		{ "other key", foreign, FRAME_ERR_MAC, 0 },
+		{ "unknown version", version, FRAME_ERR_VERSION, 0 },
+		{ "over the limit", longer, FRAME_ERR_LENGTH, 0 },
+	};
+
+	for (const auto &row : rows) {
+		enum frame_error error;
+
+		EXPECT_EQ(row.frames, read_all(row.bytes, 1000, &error).size())
+			<< row.name;
+		EXPECT_EQ(row.error, error) << row.name;
+	}
+}
+
+// Any change of the stream must end it before a changed body is handed on.
+TEST(Frame, MutationsAreNeverAccepted)
+{
+	const char *env = getenv("SEED");
+	unsigned int seed = env ? (unsigned int)atoi(env) : 20261204;
+	std::mt19937 random(seed);
+	struct frame_writer writer = { KEY, 0 };
+	std::vector<std::string> frames, good;
+	enum frame_error error;
+	std::string all;
+
+	std::cout << "seed " << seed << "\n";
+	for (int i = 0; i < 6; i++) {
+		frames.push_back(ping(&writer, std::string(i * 7, 'x')));
+		all += frames.back();
+	}
+	good = read_all(all, 1 << 20, &error);
+	ASSERT_EQ(6u, good.size());
+	for (int i = 0; i < 20000; i++) {
+		std::string bytes = all;
+		size_t at = random() % bytes.size();
+
+		switch (random() % 4) {
+		case 0:
+			bytes[at] ^= (char)(1 << random() % 8);
+			break;
+		case 1:
+			bytes.erase(at, 1 + random() % 40);
+			break;
+		case 2:
+			bytes.insert(at, bytes.substr(random() % all.size(),
+						      1 + random() % 40));
+			break;
+		default:
+			bytes.insert(at, frames[random() % frames.size()]);
+		}
+		auto bodies = read_all(bytes, 1 + random() % 200, &error);
+
+		ASSERT_LE(bodies.size(), good.size()) << "case " << i;
+		for (size_t k = 0; k < bodies.size(); k++)
+			ASSERT_EQ(good[k], bodies[k]) << "case " << i;
+	}
+}
--- /dev/null
+++ b/tests/http_client_test.cc
@@ -0,0 +1,437 @@
+// Guards the HTTP client: only whole responses are handed on, and a connection
+// is used again only when it is clean.
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http.h"
+#include "net_fixture.h"
+
+namespace
+{
+
+struct Client {
+	Net net;
+	RawServer server{ net };
+	struct http_conn *conn = nullptr;
+	std::string body;
+	struct http_call call = {};
+	bool done = false;
+	bool allow = true;
+	bool destroy_in_done = false;
+	int asked = 0;
+	enum http_result result = HTTP_OK;
+	bool bytes_sent = false;
+	bool reusable = false;
+	uint32_t status = 0;
+	std::string answer;
+	std::vector<std::pair<std::string, std::string>> headers;
+
+	explicit Client(const char *method = "GET",
+			const char *address = nullptr)
+	{
+		call.method = method;
+		call.target = "/t";
+		call.answer_max_bytes = 100;
+		call.timeout_ms = 400;
+		call.may_send = may_send;
+		call.done = on_done;
+		call.arg = this;
+		EXPECT_EQ(LOOP_OK,
+			  http_conn_create(net.loop,
+					   address ? address : server.address(),
+					   400, &conn));
+	}
+
+	~Client()
+	{
+		http_conn_destroy(conn);
+	}
+
+	static bool may_send(void *arg)
+	{
+		((Client *)arg)->asked++;
+		return ((Client *)arg)->allow;
+	}
+
+	static void on_done(void *arg, struct http_conn *conn,
+			    const struct http_outcome *outcome)
+	{
+		auto self = (Client *)arg;
+		const struct http_response *response = &outcome->response;
+
+		self->done = true;
+		self->result = outcome->result;
+		self->bytes_sent = outcome->bytes_sent;
+		self->status = response->status;
+		self->answer.assign((const char *)response->body,
+				    response->body_bytes);
+		for (size_t i = 0; i < response->nr_headers; i++)
+			self->headers.push_back({ response->headers[i].name,
+						  response->headers[i].value });
+		self->reusable = http_conn_reusable(conn);
+		if (self->destroy_in_done) {
+			http_conn_destroy(conn);
+			self->conn = nullptr;
+		}
+	}
+
+	void start()
+	{
+		done = false;
+		call.body = (const uint8_t *)body.data();
+		call.body_bytes = body.size();
+		ASSERT_EQ(LOOP_OK, http_conn_call(conn, &call));
+		ASSERT_FALSE(done) << "outcome from within the call";
+	}
+
+	// Waits until the stand-in server has the request.
+	void start_and_wait()
+	{
+		start();
+		ASSERT_TRUE(net.until([&] {
+			return server.last.received.find("\r\n\r\n") !=
+			       std::string::npos;
+		}));
+	}
+
+	bool finish()
+	{
+		return net.until([&] { return done; });
+	}
+};
+
+struct Row {
+	const char *name;
+	const char *method;
+	std::string in;
+	bool close; // after the bytes
+	enum http_result result;
+	uint32_t status;
+	const char *answer;
+	bool reusable;
+};
+
+const std::string OK = "HTTP/1.1 200 OK\r\n";
+const std::string CL3 = "Content-Length: 3\r\n";
+const std::string TE = "Transfer-Encoding: chunked\r\n";
+
+const std::vector<Row> &rows()
+{
+	static const std::vector<Row> table = {
+		{ "length", "GET", OK + CL3 + "\r\nabc", false, HTTP_OK, 200,
+		  "abc", true },
+		{ "empty", "GET", OK + "Content-Length: 0\r\n\r\n", false,
+		  HTTP_OK, 200, "", true },
+		{ "chunks are unframed, trailers dropped", "GET",
+		  OK + TE + "\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\nT: 1\r\n\r\n",
+		  false, HTTP_OK, 200, "abc", true },
+		{ "close", "GET", OK + CL3 + "Connection: close\r\n\r\nabc",
+		  false, HTTP_OK, 200, "abc", false },
+		{ "closed after the response", "GET", OK + CL3 + "\r\nabc",
+		  true, HTTP_OK, 200, "abc", true },
+		{ "version 1.0", "GET", "HTTP/1.0 200 OK\r\n" + CL3 + "\r\nabc",
+		  false, HTTP_OK, 200, "abc", false },
+		{ "103 is not the final response", "GET",
+		  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK + CL3 +
+			  "\r\nabc",
+		  false, HTTP_OK, 200, "abc", true },
+		{ "100 and 102", "GET",
+		  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 x\r\n\r\n" + OK +
+			  CL3 + "\r\nabc",
+		  false, HTTP_OK, 200, "abc", true },
+		{ "redirect is handed on", "GET",
+		  "HTTP/1.1 302 Found\r\nLocation: /x\r\n" + CL3 + "\r\nabc",
+		  false, HTTP_OK, 302, "abc", true },
+		{ "error is handed on", "GET",
+		  "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\n" + CL3 + "\r\nabc",
+		  false, HTTP_OK, 503, "abc", true },
+		{ "HEAD has no body", "HEAD", OK + CL3 + "\r\n", false, HTTP_OK,
+		  200, "", true },
+		{ "HEAD without length", "HEAD", OK + "\r\n", false, HTTP_OK,
+		  200, "", true },
+		{ "body after HEAD", "HEAD", OK + CL3 + "\r\nabc", false,
+		  HTTP_OK, 200, "", false },
+		{ "204", "GET", "HTTP/1.1 204 x\r\n\r\n", false, HTTP_OK, 204,
+		  "", true },
+		{ "204 with length", "GET", "HTTP/1.1 204 x\r\n" + CL3 + "\r\n",
+		  false, HTTP_OK, 204, "", true },
+		{ "304 with length", "GET", "HTTP/1.1 304 x\r\n" + CL3 + "\r\n",
+		  false, HTTP_OK, 304, "", true },
+		{ "bytes after the response", "GET", OK + CL3 + "\r\nabcd",
+		  false, HTTP_OK, 200, "abc", false },
+		{ "second response", "GET",
+		  OK + CL3 + "\r\nabc" + OK + CL3 + "\r\nxyz", false, HTTP_OK,
+		  200, "abc", false },
+		// Nobody can tell whether these are whole.
+		{ "no framing, closed", "GET", OK + "\r\nabc", true,
+		  HTTP_MALFORMED, 0, "", false },
+		{ "no framing, open", "GET", OK + "\r\n", false, HTTP_MALFORMED,
+		  0, "", false },
+		{ "length and chunks", "GET",
+		  OK + CL3 + TE + "\r\n3\r\nabc\r\n0\r\n\r\n", false,
+		  HTTP_MALFORMED, 0, "", false },
+		{ "chunks and length", "GET",
+		  OK + TE + CL3 + "\r\n3\r\nabc\r\n0\r\n\r\n", false,
+		  HTTP_MALFORMED, 0, "", false },
+		{ "two lengths", "GET",
+		  OK + "Content-Length: 2\r\n" + CL3 + "\r\nabc", false,
+		  HTTP_MALFORMED, 0, "", false },
+		{ "other coding", "GET",
+		  OK + "Transfer-Encoding: gzip\r\n\r\nabc", true,
+		  HTTP_MALFORMED, 0, "", false },
+		{ "length is no number", "GET",
+		  OK + "Content-Length: 3x\r\n\r\nabc", false, HTTP_MALFORMED,
+		  0, "", false },
+		{ "chunk shorter than its size", "GET",
+		  OK + TE + "\r\n4\r\nabc\r\n0\r\n\r\n", false, HTTP_MALFORMED,
+		  0, "", false },
+		{ "chunk longer than its size", "GET",
+		  OK + TE + "\r\n3\r\nabcde0\r\n\r\n", false, HTTP_MALFORMED, 0,
+		  "", false },
+		{ "switch of protocols", "GET",
+		  "HTTP/1.1 101 x\r\nUpgrade: y\r\n\r\n", false, HTTP_MALFORMED,
+		  0, "", false },
+		{ "status 099", "GET", "HTTP/1.1 099 x\r\n" + CL3 + "\r\nabc",
+		  false, HTTP_MALFORMED, 0, "", false },
+		{ "no HTTP", "GET", "hello\r\n\r\n", false, HTTP_MALFORMED, 0,
+		  "", false },
+		{ "empty line first", "GET", "\r\n" + OK + CL3 + "\r\nabc",
+		  false, HTTP_MALFORMED, 0, "", false },
+		{ "head too large", "GET",
+		  OK + "A: " + std::string(17000, 'a') + "\r\n", false,
+		  HTTP_MALFORMED, 0, "", false },
+		{ "too large", "GET", OK + "Content-Length: 101\r\n\r\n", false,
+		  HTTP_TOO_LARGE, 0, "", false },
+		{ "chunks too large", "GET",
+		  OK + TE + "\r\n65\r\n" + std::string(101, 'a'), false,
+		  HTTP_TOO_LARGE, 0, "", false },
+		{ "closed before the response", "GET", "", true, HTTP_CLOSED, 0,
+		  "", false },
+		{ "closed after 100", "GET", "HTTP/1.1 100 Continue\r\n\r\n",
+		  true, HTTP_CLOSED, 0, "", false },
+		{ "no response", "GET", "", false, HTTP_TIMEOUT, 0, "", false },
+		{ "rest does not come", "GET", OK + CL3 + "\r\nab", false,
+		  HTTP_TIMEOUT, 0, "", false },
+	};
+	return table;
+}
+
+void run_row(const Row &row, size_t piece_bytes)
+{
+	Client c(row.method);
+
+	if (row.result == HTTP_TIMEOUT)
+		c.call.timeout_ms = 50;
+	c.start_and_wait();
+	for (size_t at = 0; at < row.in.size(); at += piece_bytes) {
+		c.server.last.send(row.in.substr(at, piece_bytes));
+		if (piece_bytes < row.in.size())
+			c.net.run_ms(1);
+	}
+	if (row.close && c.server.last.conn) {
+		loop_conn_close_after_send(c.server.last.conn);
+		c.server.last.conn = nullptr;
+	}
+	ASSERT_TRUE(c.finish()) << row.name;
+	EXPECT_EQ(row.result, c.result) << row.name;
+	EXPECT_EQ(row.status, c.status) << row.name;
+	EXPECT_EQ(row.answer, c.answer) << row.name;
+	EXPECT_EQ(row.reusable, c.reusable) << row.name;
+	EXPECT_TRUE(c.bytes_sent) << row.name;
+	EXPECT_EQ(1, c.asked) << row.name;
+}
+
+} // namespace
+
+TEST(HttpClient, Table)
+{
+	for (const auto &row : rows())
+		run_row(row, row.in.size() + 1);
+}
+
+// The outcome must not depend on how the bytes are split into reads, but for
+// bytes after the response: they are then noticed on the idle connection.
+TEST(HttpClient, TableInSmallPieces)
+{
+	for (auto row : rows()) {
+		if (row.in.size() > 2000 || row.result == HTTP_TIMEOUT)
+			continue;
+		if (!row.reusable && row.result == HTTP_OK)
+			continue;
+		run_row(row, 1);
+	}
+}
+
+// A response that is cut anywhere must never be handed on as whole.
+TEST(HttpClient, CutAtEveryOffset)
+{
+	const std::string responses[] = {
+		OK + CL3 + "X: y\r\n\r\nabc",
+		OK + TE + "\r\n2\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n",
+		"HTTP/1.1 103 x\r\n\r\n" + OK + CL3 + "\r\nabc",
+	};
+
+	for (const auto &response : responses) {
+		for (size_t cut = 0; cut < response.size(); cut++) {
+			Client c;
+			size_t final_at = response.rfind("HTTP/1.1 ");
+
+			c.start_and_wait();
+			c.server.last.send(response.substr(0, cut));
+			loop_conn_close_after_send(c.server.last.conn);
+			c.server.last.conn = nullptr;
+			ASSERT_TRUE(c.finish()) << cut;
+			// Between two responses none has begun.
+			EXPECT_EQ(cut && cut != final_at ? HTTP_CUT :
+							   HTTP_CLOSED,
+				  c.result)
+				<< response << " cut at " << cut;
+			EXPECT_FALSE(c.reusable);
+		}
+	}
+}
+
+TEST(HttpClient, SendsHeadAndBody)
+{
+	Client c("POST");
+	const struct http_header headers[] = {
+		{ "Host", "h" },
+		{ "A", "b" },
+		{ "Connection", "close" },
+		{ "Evil", "x\r\nInjected: y" },
+	};
+
+	c.call.headers = headers;
+	c.call.nr_headers = 4;
+	c.body = "body";
+	c.start_and_wait();
+	EXPECT_EQ("POST /t HTTP/1.1\r\nHost: h\r\nA: b\r\nContent-Length: 4"
+		  "\r\n\r\nbody",
+		  c.server.last.received);
+}
+
+// Duplicate response headers are all handed on.
+TEST(HttpClient, KeepsDuplicateHeaders)
+{
+	Client c;
+
+	c.start_and_wait();
+	c.server.last.send(OK + "A: 1\r\nA:\r\nA: 2 \r\n" + CL3 + "\r\nabc");
+	ASSERT_TRUE(c.finish());
+	ASSERT_EQ(4u, c.headers.size());
+	EXPECT_EQ("1", c.headers[0].second);
+	EXPECT_EQ("", c.headers[1].second);
+	EXPECT_EQ("2", c.headers[2].second);
+}
+
+TEST(HttpClient, ReusesCleanConnection)
+{
+	Client c;
+
+	for (int i = 0; i < 3; i++) {
+		c.server.last.received.clear();
+		c.start_and_wait();
+		c.server.last.send(OK + CL3 + "\r\nabc");
+		ASSERT_TRUE(c.finish());
+		ASSERT_EQ(HTTP_OK, c.result);
+	}
+	EXPECT_EQ(1, c.server.accepted);
+}
+
+// A late byte on an idle connection belongs to no request of ours.
+TEST(HttpClient, BytesOnIdleConnectionMakeItUnusable)
+{
+	Client c;
+
+	c.start_and_wait();
+	c.server.last.send(OK + CL3 + "\r\nabc");
+	ASSERT_TRUE(c.finish());
+	ASSERT_TRUE(http_conn_reusable(c.conn));
+	c.server.last.send("x");
+	EXPECT_TRUE(c.net.until([&] { return !http_conn_reusable(c.conn); }));
+	EXPECT_EQ(LOOP_ERR_CLOSED, http_conn_call(c.conn, &c.call));
+}
+
+TEST(HttpClient, CloseOnIdleConnectionMakesItUnusable)
+{
+	Client c;
+
+	ASSERT_TRUE(c.net.until([&] { return http_conn_reusable(c.conn); }));
+	ASSERT_TRUE(c.net.until([&] { return c.server.accepted == 1; }));
+	c.server.last.close();
+	EXPECT_TRUE(c.net.until([&] { return !http_conn_reusable(c.conn); }));
+}
+
+// Nothing may leave once the lease is gone, neither on a new nor on an idle
+// connection.
+TEST(HttpClient, MaySendStopsTheFirstByte)
+{
+	for (bool connected : { false, true }) {
+		Client c;
+
+		if (connected) {
+			ASSERT_TRUE(c.net.until(
+				[&] { return http_conn_reusable(c.conn); }));
+		}
+		c.allow = false;
+		c.start();
+		ASSERT_TRUE(c.finish());
+		EXPECT_EQ(HTTP_CLOSED, c.result);
+		EXPECT_FALSE(c.bytes_sent);
+		c.net.run_ms(20);
+		EXPECT_EQ("", c.server.last.received);
+	}
+}
+
+TEST(HttpClient, RefusedConnectionSentNothing)
+{
+	Client c("GET", "127.0.0.1:1");
+
+	c.start();
+	ASSERT_TRUE(c.finish());
+	EXPECT_EQ(HTTP_CONNECT_FAILED, c.result);
+	EXPECT_FALSE(c.bytes_sent);
+}
+
+// A server may answer before it has read a large request.
+TEST(HttpClient, EarlyResponseToLargeBody)
+{
+	Client c("POST");
+
+	c.body.assign(32 << 20, 'x');
+	c.start_and_wait();
+	loop_conn_pause(c.server.last.conn, true);
+	c.server.last.send("HTTP/1.1 413 x\r\n" + CL3 + "\r\nabc");
+	ASSERT_TRUE(c.finish());
+	EXPECT_EQ(HTTP_OK, c.result);
+	EXPECT_EQ(413u, c.status);
+	EXPECT_FALSE(c.reusable);
+}
+
+TEST(HttpClient, DestroyInDone)
+{
+	for (bool close : { false, true }) {
+		Client c;
+
+		c.destroy_in_done = true;
+		c.start_and_wait();
+		if (close)
+			c.server.last.close();
+		else
+			c.server.last.send(OK + CL3 + "\r\nabc");
+		ASSERT_TRUE(c.finish());
+	}
+}
+
+TEST(HttpClient, DestroyWhileBusyCallsNothing)
+{
+	Client c;
+
+	c.start_and_wait();
+	http_conn_destroy(c.conn);
+	c.conn = nullptr;
+	c.net.run_ms(20);
+	EXPECT_FALSE(c.done);
+	EXPECT_TRUE(c.server.last.closed);
+}
