Add fleet: the replicated state machine

Configuration, keys, drains, claims and operators' results, each in a file that enforces its own rules.

Decided: - A claim sent again by the same request is granted again, since its first answer may have been lost; another request gets "in doubt". - Every released request keeps a record of its own for 24 h, so a delayed claim is known also after the key was claimed by others. - Finishing or releasing a claim starts its 24 h again; records are then in order of expiry, and expiring costs nothing per claim that stays. - When stored responses exceed 16 MiB in all, the oldest are dropped. - A key with the hash of a withdrawn one is refused: under another id it would work again.

Ruled out: a limit per drain step in time. Drain has no time of the last step; the leader keeps the pace.

--- a/almondward/fleet.h
+++ b/almondward/fleet.h
@@ -29,6 +29,9 @@
 /*
  * Applies the operation at that log index, which is one above the last
  * applied. *result is freed by aw__op_result__free_unpacked(result, NULL).
+ * A refused operation is FLEET_OK with a result that says so. After an error
+ * the state must not be used any more: FLEET_ERR_MEMORY may come half way, and
+ * FLEET_ERR_MALFORMED is an index out of order.
  */
 enum fleet_error fleet_apply(struct fleet *fleet, uint64_t index,
 			     const Aw__Op *op, Aw__OpResult **result);
--- /dev/null
+++ b/almondward/fleet_state.h
@@ -0,0 +1,126 @@
+/*
+ * fleet_state: what the files of the fleet module share.
+ *
+ * Each aggregate is in a file of its own and enforces its own rules. All of
+ * them write their verdict to an Aw__OpResult.
+ */
+#ifndef FLEET_STATE_H
+#define FLEET_STATE_H
+
+#include <stdbool.h>
+
+#include <uthash.h>
+
+#include "fleet.h"
+
+#define FLEET_RESULTS_MAX 4096 /* remembered operator requests */
+#define FLEET_REQUEST_ID_BYTES_MAX 65 /* operator request id with NUL */
+#define FLEET_KEYS_MAX 10000
+#define FLEET_DRAINS_MAX 1000
+#define FLEET_RAMP_S_MAX 86400
+#define FLEET_ANSWER_BYTES_MAX 8192
+#define FLEET_ANSWERS_BYTES_MAX (UINT64_C(16) << 20)
+#define FLEET_CONTENT_TYPE_BYTES_MAX 256 /* with NUL */
+/* Bounds memory: 24 h at 46 claims a second. */
+#define FLEET_CLAIMS_MAX 4000000
+#define FLEET_SHARE_PERMILLE_MAX 1000
+
+struct fleet_claim {
+	Aw__Claim *claim;
+	char *id; /* customer, idempotency key, request id if released */
+	struct fleet_claim *prev, *next; /* kept answers, oldest first */
+	UT_hash_handle hh; /* in order of expiry */
+};
+
+struct fleet_result {
+	Aw__OperatorResult *record;
+	UT_hash_handle hh; /* oldest first */
+};
+
+struct fleet {
+	uint64_t applied_index;
+	uint64_t state_version;
+	uint64_t time_ms;
+	Aw__Config *config;
+	Aw__Key **keys;
+	size_t nr_keys;
+	Aw__Drain **drains;
+	size_t nr_drains;
+	struct fleet_claim *claims;
+	struct fleet_claim *answers;
+	uint64_t answers_bytes;
+	struct fleet_result *results;
+};
+
+/* fleet.c */
+enum fleet_error fleet_set(Aw__OpResult *result, Aw__OpCode code,
+			   const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+bool fleet_is_text(const char *text, size_t bytes_max);
+/* Counts a change of configuration, keys or drains by an operator. */
+void fleet_changed(struct fleet *fleet, uint64_t index);
+void *fleet_copy(const ProtobufCMessage *message);
+void fleet_free(void *message);
+
+/* fleet_config.c */
+enum fleet_error fleet_config_replace(struct fleet *fleet, uint64_t index,
+				      const Aw__OpConfig *op,
+				      Aw__OpResult *result);
+enum fleet_error fleet_exception_add(struct fleet *fleet, uint64_t index,
+				     const Aw__OpExceptionAdd *op,
+				     Aw__OpResult *result);
+enum fleet_error fleet_exception_remove(struct fleet *fleet, uint64_t index,
+					const Aw__OpExceptionRemove *op,
+					Aw__OpResult *result);
+
+/* fleet_keys.c */
+enum fleet_error fleet_key_grant(struct fleet *fleet, uint64_t index,
+				 const Aw__OpKeyGrant *op,
+				 Aw__OpResult *result);
+enum fleet_error fleet_key_withdraw(struct fleet *fleet, uint64_t index,
+				    const Aw__OpKeyWithdraw *op,
+				    Aw__OpResult *result);
+/* A key in use whose customer is not in that configuration, or NULL. */
+const Aw__Key *fleet_key_without_customer(const struct fleet *fleet,
+					  const Aw__Config *config);
+bool fleet_keys_are_valid(Aw__Key *const *keys, size_t nr);
+
+/* fleet_drains.c */
+enum fleet_error fleet_drain_plan(struct fleet *fleet, uint64_t index,
+				  const Aw__OpDrainPlan *op,
+				  Aw__OpResult *result);
+enum fleet_error fleet_drain_cancel(struct fleet *fleet, uint64_t index,
+				    const Aw__OpDrainCancel *op,
+				    Aw__OpResult *result);
+enum fleet_error fleet_drain_step(struct fleet *fleet, uint64_t index,
+				  const Aw__OpDrainStep *op,
+				  Aw__OpResult *result);
+bool fleet_drains_are_valid(Aw__Drain *const *drains, size_t nr);
+
+/* fleet_claims.c */
+enum fleet_error fleet_claim(struct fleet *fleet, const Aw__OpClaim *op,
+			     Aw__OpResult *result);
+enum fleet_error fleet_claim_finish(struct fleet *fleet,
+				    const Aw__OpClaimFinish *op,
+				    Aw__OpResult *result);
+enum fleet_error fleet_claim_release(struct fleet *fleet,
+				     const Aw__OpClaimRelease *op,
+				     Aw__OpResult *result);
+void fleet_claims_expire(struct fleet *fleet);
+/* Adds a loaded claim, which belongs to the fleet from then on if it is valid. */
+enum fleet_error fleet_claims_load(struct fleet *fleet, Aw__Claim *claim);
+void fleet_claims_clear(struct fleet *fleet);
+
+/* fleet_results.c */
+enum fleet_error fleet_digest(const Aw__Op *op, uint8_t *digest);
+const Aw__OperatorResult *fleet_result_find(const struct fleet *fleet,
+					    const char *id);
+enum fleet_error fleet_result_add(struct fleet *fleet, const char *id,
+				  const uint8_t *digest,
+				  const Aw__OpResult *result);
+/* Takes a loaded record over if it is valid. */
+enum fleet_error fleet_results_load(struct fleet *fleet,
+				    Aw__OperatorResult *record);
+void fleet_results_clear(struct fleet *fleet);
+
+#endif
