Add the request pipeline of the entry role

One state machine per request: admission, claim, queue, dispatch, answer. It reaches callers and backend servers by callbacks and takes time from a clock, so that every refusal can be checked against whether a byte left.

--- a/almondward/agent.h
+++ b/almondward/agent.h
@@ -111,6 +111,11 @@
 bool agent_take(struct agent *agent, Aw__BucketKind kind, const char *name,
 		uint64_t n);
 
+/*
+ * Tokens that are held and have not expired.
+ */
+uint64_t agent_held(struct agent *agent, Aw__BucketKind kind, const char *name);
+
 /*
  * Tokens that requests wait for at the moment.
  */
--- a/almondward/agent_tokens.c
+++ b/almondward/agent_tokens.c
@@ -103,6 +103,16 @@
 	return true;
 }
 
+uint64_t agent_held(struct agent *agent, Aw__BucketKind kind, const char *name)
+{
+	struct bucket *bucket = find(agent, kind, name);
+
+	if (!bucket)
+		return 0;
+	drop_expired(agent, bucket);
+	return held(bucket);
+}
+
 void agent_set_waiting(struct agent *agent, Aw__BucketKind kind,
 		       const char *name, uint64_t n)
 {
--- /dev/null
+++ b/almondward/budget.c
@@ -0,0 +1,41 @@
+#include "budget.h"
+
+#include <string.h>
+
+static void move_to(struct budget *budget, uint64_t now_ms)
+{
+	uint64_t second = now_ms / 1000;
+
+	if (second - budget->second >= BUDGET_SECONDS) {
+		memset(budget, 0, sizeof(*budget));
+		budget->second = second;
+		return;
+	}
+	while (budget->second < second) {
+		budget->second++;
+		budget->admitted[budget->second % BUDGET_SECONDS] = 0;
+		budget->retries[budget->second % BUDGET_SECONDS] = 0;
+	}
+}
+
+void budget_admit(struct budget *budget, uint64_t now_ms)
+{
+	move_to(budget, now_ms);
+	budget->admitted[budget->second % BUDGET_SECONDS]++;
+}
+
+bool budget_retry(struct budget *budget, uint64_t now_ms)
+{
+	uint64_t admitted = 0, retries = 0;
+	uint32_t i;
+
+	move_to(budget, now_ms);
+	for (i = 0; i < BUDGET_SECONDS; i++) {
+		admitted += budget->admitted[i];
+		retries += budget->retries[i];
+	}
+	if (retries >= BUDGET_RETRIES_MIN + admitted * BUDGET_PERCENT / 100)
+		return false;
+	budget->retries[budget->second % BUDGET_SECONDS]++;
+	return true;
+}
--- /dev/null
+++ b/almondward/budget.h
@@ -0,0 +1,38 @@
+/*
+ * budget: limits retries to a share of the admitted requests.
+ */
+#ifndef BUDGET_H
+#define BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define BUDGET_SECONDS 10
+#define BUDGET_RETRIES_MIN 3
+#define BUDGET_PERCENT 10
+
+/*
+ * Counts per second of the last BUDGET_SECONDS. Starts zeroed.
+ */
+struct budget {
+	uint64_t second;
+	uint32_t admitted[BUDGET_SECONDS];
+	uint32_t retries[BUDGET_SECONDS];
+};
+
+void budget_admit(struct budget *budget, uint64_t now_ms);
+
+/*
+ * Counts one retry and returns true if the budget allows it.
+ */
+bool budget_retry(struct budget *budget, uint64_t now_ms);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/almondward/entry_admission.c
@@ -0,0 +1,405 @@
+#include "entry_internal.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <sodium.h>
+#include <utlist.h>
+
+#define OPEN_CUSTOMER "-"
+
+static const char *header(const struct request *request, const char *name)
+{
+	return http_header_value(request->http->headers,
+				 request->http->nr_headers, name);
+}
+
+/*
+ * The key of the Authorization header, or NULL.
+ */
+static const char *bearer_key(const struct request *request)
+{
+	const char *value = header(request, "Authorization");
+
+	if (!value || strncasecmp(value, "Bearer ", 7) != 0)
+		return NULL;
+	value += 7;
+	return value + strspn(value, " ");
+}
+
+static bool key_misplaced(const struct request *request, const char *key)
+{
+	const struct http_request *http = request->http;
+	size_t i;
+
+	if (key_in_text(http->target, strlen(http->target)))
+		return true;
+	for (i = 0; i < http->nr_headers; i++) {
+		const struct http_header *one = &http->headers[i];
+
+		if (key_in_text(one->name, strlen(one->name)))
+			return true;
+		if (key && !strcasecmp(one->name, "Authorization"))
+			continue;
+		if (key_in_text(one->value, strlen(one->value)))
+			return true;
+	}
+	return key && key_in_body(key, http->body, http->body_bytes);
+}
+
+static enum refusal check_key(struct request *request, const char *text)
+{
+	const struct view *view = agent_view(request->core->agent);
+	const Aw__Customer *customer;
+	const Aw__Key *key;
+
+	if (request->open) {
+		snprintf(request->customer, sizeof(request->customer), "%s",
+			 OPEN_CUSTOMER);
+		request->weight = 1;
+		return REFUSAL_NONE;
+	}
+	if (!text || !*text)
+		return REFUSAL_KEY_MISSING;
+	if (!key_has_form(text, strlen(text)))
+		return REFUSAL_KEY_UNKNOWN;
+	key_hash(text, request->key_hash);
+	key = view_key(view, request->key_hash);
+	if (!key)
+		return REFUSAL_KEY_UNKNOWN;
+	if (key->withdrawn)
+		return REFUSAL_KEY_WITHDRAWN;
+	customer = cfg_customer(view_config(view), key->customer);
+	if (!customer)
+		return REFUSAL_KEY_UNKNOWN;
+	snprintf(request->customer, sizeof(request->customer), "%s",
+		 customer->name);
+	request->weight = customer->weight;
+	return REFUSAL_NONE;
+}
+
+static enum refusal find_route(struct request *request)
+{
+	const struct view *view = agent_view(request->core->agent);
+	const Aw__Route *route = view_route(view, request->http->target);
+
+	if (!route)
+		return REFUSAL_NO_ROUTE;
+	if (!route_method_ok(route, request->http->method))
+		return REFUSAL_METHOD;
+	snprintf(request->route, sizeof(request->route), "%s", route->name);
+	request->open = route->open;
+	request->idempotent = route->kind != AW__REQUEST_KIND__NON_IDEMPOTENT;
+	request->upstream = core_upstream(request->core, route->upstream);
+	return request->upstream ? REFUSAL_NONE : REFUSAL_MEMORY;
+}
+
+static void decide_policies(struct request *request)
+{
+	static const enum cfg_setting used[] = {
+		CFG_DEADLINE_MS,    CFG_ADMISSION_WAIT_MS, CFG_QUEUE_WAIT_MS,
+		CFG_QUEUE_MAX,	    CFG_ATTEMPTS_MAX,	   CFG_CROSS_REGION,
+		CFG_BODY_MAX_BYTES, CFG_ANSWER_MAX_BYTES,  CFG_EJECT_FAILURES,
+		CFG_EJECT_MS,
+	};
+	struct core *core = request->core;
+	struct cfg_subject subject = {
+		.customer = request->customer,
+		.route = request->route,
+		.upstream = request->upstream->name,
+		.zone = core->zone,
+		.region = link_own_region(core),
+	};
+	struct cfg_decision decision;
+	size_t i;
+
+	dec_subject(core->decisions, request->id, request->customer,
+		    request->route, request->upstream->name);
+	for (i = 0; i < sizeof(used) / sizeof(used[0]); i++) {
+		cfg_decide(view_config(agent_view(core->agent)), used[i],
+			   &subject, &decision);
+		request->policies.value[used[i]] = decision.value;
+		dec_policy(core->decisions, request->id, used[i], &decision);
+	}
+	if (request->policies.value[CFG_ATTEMPTS_MAX] > ATTEMPTS_MAX)
+		request->policies.value[CFG_ATTEMPTS_MAX] = ATTEMPTS_MAX;
+}
+
+static enum refusal find_deadline(struct request *request)
+{
+	uint64_t limit_ms = request->policies.value[CFG_DEADLINE_MS];
+	const char *text = header(request, "Almondward-Deadline-Ms");
+	unsigned long long asked_ms;
+	char *end;
+
+	if (text) {
+		errno = 0;
+		asked_ms = strtoull(text, &end, 10);
+		if (*text < '0' || *text > '9' || *end || errno)
+			return REFUSAL_BAD_REQUEST;
+		if (asked_ms < limit_ms)
+			limit_ms = asked_ms;
+	}
+	request->deadline_ms = request->http->head_ms + limit_ms;
+	if (core_now_ms(request->core) >= request->deadline_ms)
+		return REFUSAL_DEADLINE;
+	return REFUSAL_NONE;
+}
+
+static enum refusal check_idempotency_key(struct request *request)
+{
+	const char *text = header(request, "Idempotency-Key");
+	const char *pos;
+
+	if (request->idempotent)
+		return REFUSAL_NONE;
+	if (!text || !*text)
+		return REFUSAL_IDEMPOTENCY_KEY_MISSING;
+	for (pos = text; *pos; pos++) {
+		if (*pos <= ' ' || *pos > '~')
+			return REFUSAL_IDEMPOTENCY_KEY_BAD;
+	}
+	if ((size_t)(pos - text) >= sizeof(request->idempotency_key))
+		return REFUSAL_IDEMPOTENCY_KEY_BAD;
+	memcpy(request->idempotency_key, text, (size_t)(pos - text) + 1);
+	return REFUSAL_NONE;
+}
+
+static void add_to_hash(crypto_generichash_state *state, const char *text)
+{
+	/* The NUL separates the parts. */
+	crypto_generichash_update(state, (const uint8_t *)text,
+				  strlen(text) + 1);
+}
+
+static void hash_request(struct request *request)
+{
+	const struct http_request *http = request->http;
+	crypto_generichash_state state;
+
+	crypto_generichash(request->body_hash, HASH_BYTES, http->body,
+			   http->body_bytes, NULL, 0);
+	crypto_generichash_init(&state, NULL, 0, HASH_BYTES);
+	add_to_hash(&state, request->customer);
+	add_to_hash(&state, http->method);
+	add_to_hash(&state, http->target);
+	crypto_generichash_update(&state, request->body_hash, HASH_BYTES);
+	crypto_generichash_final(&state, request->fingerprint, HASH_BYTES);
+}
+
+static enum refusal check(struct request *request)
+{
+	const char *key = bearer_key(request);
+	enum refusal refusal;
+
+	if (!agent_lease_ok(request->core->agent))
+		return REFUSAL_NO_LEASE;
+	if (!route_target_ok(request->http->target))
+		return REFUSAL_BAD_REQUEST;
+	if (key_misplaced(request, key))
+		return REFUSAL_KEY_MISPLACED;
+	refusal = find_route(request);
+	if (refusal)
+		return refusal;
+	refusal = check_key(request, key);
+	if (refusal)
+		return refusal;
+	decide_policies(request);
+	if (request->http->body_bytes >
+	    request->policies.value[CFG_BODY_MAX_BYTES])
+		return REFUSAL_BODY_TOO_LARGE;
+	refusal = find_deadline(request);
+	if (refusal)
+		return refusal;
+	refusal = check_idempotency_key(request);
+	if (refusal)
+		return refusal;
+	hash_request(request);
+	if (agent_quarantined(request->core->agent, request->fingerprint))
+		return REFUSAL_QUARANTINED;
+	return REFUSAL_NONE;
+}
+
+static uint32_t retry_after_ms(enum refusal refusal)
+{
+	switch (refusal) {
+	case REFUSAL_NO_LEASE:
+	case REFUSAL_MEMORY:
+		return 1000;
+	default:
+		return 0;
+	}
+}
+
+static const char *detail_of(enum refusal refusal)
+{
+	switch (refusal) {
+	case REFUSAL_NO_LEASE:
+		return "this instance has no lease from the leader";
+	case REFUSAL_BAD_REQUEST:
+		return "the target or a header value is not acceptable";
+	case REFUSAL_KEY_MISPLACED:
+		return "a key belongs in the Authorization header only";
+	case REFUSAL_NO_ROUTE:
+		return "no route matches the target";
+	case REFUSAL_METHOD:
+		return "the route does not allow this method";
+	case REFUSAL_KEY_MISSING:
+		return "the route needs Authorization: Bearer KEY";
+	case REFUSAL_KEY_UNKNOWN:
+		return "the key is not known";
+	case REFUSAL_KEY_WITHDRAWN:
+		return "the key was withdrawn";
+	case REFUSAL_BODY_TOO_LARGE:
+		return "the body exceeds body_max_bytes";
+	case REFUSAL_DEADLINE:
+		return "the deadline passed before admission";
+	case REFUSAL_IDEMPOTENCY_KEY_MISSING:
+		return "the route needs an Idempotency-Key";
+	case REFUSAL_IDEMPOTENCY_KEY_BAD:
+		return "Idempotency-Key takes 1 to 128 visible characters";
+	case REFUSAL_QUARANTINED:
+		return "this request crashed backend servers";
+	default:
+		return "";
+	}
+}
+
+static void admitted(struct request *request)
+{
+	budget_admit(&request->core->budget, core_now_ms(request->core));
+	if (request->idempotent)
+		queue_begin(request);
+	else
+		claim_begin(request);
+}
+
+static bool take_token(struct request *request)
+{
+	return agent_take(request->core->agent,
+			  AW__BUCKET_KIND__BUCKET_CUSTOMER, request->customer,
+			  1);
+}
+
+static uint64_t count_waiting(const struct core *core, const char *customer)
+{
+	const struct request *one;
+	uint64_t nr = 0;
+
+	for (one = core->waiting; one; one = one->next_waiting)
+		nr += !strcmp(one->customer, customer);
+	return nr;
+}
+
+static void tell_waiting(const struct request *request)
+{
+	struct core *core = request->core;
+
+	agent_set_waiting(core->agent, AW__BUCKET_KIND__BUCKET_CUSTOMER,
+			  request->customer,
+			  count_waiting(core, request->customer));
+}
+
+void admission_leave(struct request *request)
+{
+	/* The first element's prev is the last: NULL means not listed. */
+	if (!request->prev_waiting)
+		return;
+	DL_DELETE2(request->core->waiting, request, prev_waiting, next_waiting);
+	request->prev_waiting = NULL;
+	tell_waiting(request);
+}
+
+static void wait_for_token(struct request *request)
+{
+	struct core *core = request->core;
+	uint64_t wait_ms = request->policies.value[CFG_ADMISSION_WAIT_MS];
+
+	request->step = STEP_ADMISSION;
+	request->wait_until_ms = core_now_ms(core) + wait_ms;
+	if (request->wait_until_ms > request->deadline_ms)
+		request->wait_until_ms = request->deadline_ms;
+	DL_APPEND2(core->waiting, request, prev_waiting, next_waiting);
+	tell_waiting(request);
+}
+
+static void refuse_rate(struct request *request, uint64_t wait_ms)
+{
+	finish_refusal(request, REFUSAL_RATE, (uint32_t)wait_ms,
+		       "the customer's rate and burst are used up");
+}
+
+void admission_begin(struct request *request)
+{
+	struct core *core = request->core;
+	enum refusal refusal = check(request);
+	uint64_t wait_ms;
+
+	if (refusal) {
+		finish_refusal(request, refusal, retry_after_ms(refusal),
+			       detail_of(refusal));
+		return;
+	}
+	if (request->open) {
+		admitted(request);
+		return;
+	}
+	/* Requests that wait already come first. */
+	if (!count_waiting(core, request->customer) && take_token(request)) {
+		admitted(request);
+		return;
+	}
+	wait_ms = agent_retry_after_ms(core->agent,
+				       AW__BUCKET_KIND__BUCKET_CUSTOMER,
+				       request->customer);
+	if (wait_ms)
+		refuse_rate(request, wait_ms);
+	else
+		wait_for_token(request);
+}
+
+static void serve_one(struct request *request, uint64_t now_ms)
+{
+	struct core *core = request->core;
+	uint64_t wait_ms;
+
+	/* The lease may have ended while the request waited. */
+	if (!agent_lease_ok(core->agent)) {
+		finish_refusal(request, REFUSAL_NO_LEASE, 1000,
+			       "the lease from the leader has ended");
+		return;
+	}
+	if (now_ms < request->wait_until_ms && take_token(request)) {
+		admission_leave(request);
+		admitted(request);
+		return;
+	}
+	wait_ms = agent_retry_after_ms(core->agent,
+				       AW__BUCKET_KIND__BUCKET_CUSTOMER,
+				       request->customer);
+	if (!wait_ms && now_ms < request->wait_until_ms)
+		return;
+	if (wait_ms)
+		refuse_rate(request, wait_ms);
+	else if (now_ms >= request->deadline_ms)
+		finish_refusal(request, REFUSAL_DEADLINE, 1000,
+			       "the deadline passed before admission");
+	else
+		finish_refusal(request, REFUSAL_RATE_UNKNOWN,
+			       REPORT_INTERVAL_MS,
+			       "no answer from the leader in time");
+}
+
+void admission_serve(struct core *core)
+{
+	uint64_t now_ms = core_now_ms(core);
+	struct request *request, *next;
+
+	for (request = core->waiting; request; request = next) {
+		next = request->next_waiting;
+		serve_one(request, now_ms);
+	}
+}
--- /dev/null
+++ b/almondward/entry_core.h
@@ -0,0 +1,107 @@
+/*
+ * core: the request pipeline of an entry instance.
+ *
+ * One state machine per request: admission, claim, queue, dispatch, answer. It
+ * does no I/O itself: callers and backend servers are reached by callbacks and
+ * time comes from a clock.
+ */
+#ifndef ENTRY_CORE_H
+#define ENTRY_CORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "agent.h"
+#include "clock.h"
+#include "counter.h"
+#include "decision.h"
+#include "http.h"
+#include "types.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct core;
+struct backend; /* a call to a backend server, made by the I/O side */
+
+struct backend_call {
+	const char *address;
+	bool fresh; /* not on a pooled connection */
+	struct http_call http; /* done is not used */
+	/*
+	 * Called once with the outcome; returns true if the connection may be
+	 * used again. The backend is invalid after the return. The caller puts
+	 * the connection away and then calls core_settle().
+	 */
+	bool (*done)(void *arg, const struct http_outcome *outcome);
+};
+
+struct core_io {
+	void (*respond)(void *arg, struct http_exchange *exchange,
+			const struct http_response *response);
+	void (*refuse)(void *arg, struct http_exchange *exchange,
+		       enum refusal refusal, const char *detail,
+		       const char *request_id, bool not_run,
+		       uint32_t retry_after_ms);
+	void (*on_abort)(void *arg, struct http_exchange *exchange,
+			 void (*fn)(void *arg), void *fn_arg);
+	/*
+	 * Starts a call; done never runs within. Returns NULL if the call could
+	 * not be started, in which case no byte was sent.
+	 */
+	struct backend *(*send)(void *arg, const struct backend_call *call);
+	/* Closes the connection; done is not called. */
+	void (*abort)(void *arg, struct backend *backend);
+};
+
+struct core_settings {
+	const char *name;
+	const char *zone;
+	struct agent *agent; /* not owned, like all below */
+	struct clk *clk;
+	struct ctr_set *counters;
+	struct dec_ring *decisions;
+};
+
+/*
+ * Returns NULL when memory is exhausted.
+ */
+struct core *core_create(const struct core_settings *settings,
+			 const struct core_io *io, void *arg);
+
+/*
+ * Drops all requests without answers; calls are aborted.
+ */
+void core_destroy(struct core *core);
+
+/*
+ * Takes a complete request; exactly one of respond, refuse or the abort
+ * callback ends it.
+ */
+void core_start(struct core *core, struct http_exchange *exchange,
+		const struct http_request *http);
+
+/*
+ * To be called after the agent applied a Grant, and about every 10 ms.
+ */
+void core_changed(struct core *core);
+void core_tick(struct core *core);
+
+/*
+ * Ends a turn: serves what waits and answers what was refused. Every event
+ * ends with it, so that no list changes while it is walked.
+ */
+void core_settle(struct core *core);
+
+/*
+ * Requests without an answer, and slots that wait for a cancellation.
+ */
+size_t core_active(const struct core *core);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/almondward/route.c
+++ b/almondward/route.c
@@ -246,7 +246,9 @@
 		 enum route_verdict *verdicts)
 {
 	enum route_verdict verdict, against_best;
+	struct route_question whole;
 	struct floor floor;
+	bool waits = false, drained = false;
 	int best = -1;
 	size_t i;
 
@@ -271,6 +273,15 @@
 			verdicts[i] = verdict;
 		if (verdict == ROUTE_CHOSEN)
 			best = (int)i;
+		waits |= verdict == ROUTE_NO_SLOT ||
+			 verdict == ROUTE_NO_LINK_TOKENS;
+		drained |= verdict == ROUTE_DRAINED;
 	}
-	return best;
+	if (best >= 0 || waits || !drained ||
+	    question->draw_permille == ROUTE_DRAW_MAX)
+		return best;
+	/* Nothing else may serve the moved share, so it is not moved yet. */
+	whole = *question;
+	whole.draw_permille = ROUTE_DRAW_MAX;
+	return route_choose(candidates, nr, &whole, verdicts);
 }
--- a/almondward/route.h
+++ b/almondward/route.h
@@ -89,13 +89,16 @@
 	uint64_t now_ms;
 	bool cross_region; /* policy allows other regions */
 	bool retry; /* servers that shed load get no retries */
-	uint32_t
-		draw_permille; /* 0 to 999: servers drained more are left out */
+	/* Servers that are drained more are left out. */
+	uint32_t draw_permille;
 };
 
+#define ROUTE_DRAW_MAX 999
+
 /*
  * Chooses a server. Returns its position or -1; verdicts, if not NULL, has
- * room for nr. A server that failed for this request is chosen only if there
+ * room for nr. A partly drained server is used for the moved share too while
+ * no other server may be used at all. A server that failed for this request is chosen only if there
  * is no other.
  */
 int route_choose(const struct route_candidate *candidates, size_t nr,
