--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -1,5 +1,6 @@
 // Guards the configuration document, its rules and the policy look-up.
 #include <cstring>
+#include <fstream>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -358,3 +359,47 @@
 	EXPECT_FALSE(key_well_formed(a));
 	EXPECT_FALSE(key_well_formed("aw1_short"));
 }
+
+static std::string page(const char *path)
+{
+	std::ifstream file(path);
+
+	return { std::istreambuf_iterator<char>(file), {} };
+}
+
+// The manual page must not drift from the rules: its example is accepted and
+// its table has the ranges and built-in values.
+TEST(Manual, ExampleAndTableMatchTheRules)
+{
+	std::string text = page("almondward/almondward.fleet.5"), error;
+	size_t at = text.find(".Bd -literal\n") + strlen(".Bd -literal\n");
+
+	ASSERT_LT(at, text.size());
+	EXPECT_TRUE(parse(text.substr(at, text.find(".Ed", at) - at), &error))
+		<< error;
+	for (int i = 0; i < CFG_SETTING_COUNT; i++) {
+		const struct cfg_setting_info *info =
+			cfg_setting_info((enum cfg_setting)i);
+		std::string row = std::string(".It Ic ") + info->name + " Ta " +
+				  std::to_string(info->min) + " to " +
+				  std::to_string(info->max) + " Ta " +
+				  std::to_string(info->value) + "\n";
+
+		EXPECT_NE(std::string::npos, text.find(row)) << row;
+	}
+}
+
+// An operator must find every refusal, with its status, in the guide.
+TEST(Manual, GuideExplainsEveryRefusal)
+{
+	std::string text = page("docs/operators.md");
+
+	for (int i = REFUSAL_NONE + 1; i < REFUSAL_COUNT; i++) {
+		enum refusal refusal = (enum refusal)i;
+		std::string row =
+			std::string("\n| `") + refusal_name(refusal) + "` | " +
+			std::to_string(refusal_status(refusal)) + " |";
+
+		EXPECT_NE(std::string::npos, text.find(row)) << row;
+	}
+}
