Bound the time that a command waits for silent instances

Twenty rounds with a call timeout of 10 s kept an operator waiting for minutes when instances accepted connections and did not answer. The time in lost calls now counts against 15 s, and a call waits 5 s.

--- a/almondward/cli.c
+++ b/almondward/cli.c
@@ -60,7 +60,7 @@
 	{ "drain cancel", "NAME", "Cancel a drain.", OPTIONS_CHANGE,
 	  SYSTEM_REQUIRED, cli_drain_cancel },
 	{ "explain", "REQUEST-ID", "Show the decisions of a request.",
-	  OPT_BIT(OPT_ENTRY) | OPT_BIT(OPT_TOKEN_FILE) | OPT_BIT(OPT_JSON),
+	  OPTIONS_READ | OPT_BIT(OPT_ENTRY),
 	  OPT_BIT(OPT_ENTRY) | OPT_BIT(OPT_TOKEN_FILE), cli_explain },
 	{ "status", NULL, "Show the state of the fleet.", OPTIONS_READ,
 	  SYSTEM_REQUIRED, cli_status },
--- a/almondward/cli.h
+++ b/almondward/cli.h
@@ -16,6 +16,12 @@
 extern "C" {
 #endif
 
+/*
+ * How long a call waits for its answer. A commit across regions takes well
+ * under 1 s.
+ */
+#define CLI_CALL_TIMEOUT_MS 5000
+
 /*
  * Exit statuses.
  */
--- a/almondward/cli_args.c
+++ b/almondward/cli_args.c
@@ -218,8 +218,9 @@
 	status = argp_parse(&argp, argc, argv, 0, NULL, cli);
 	if (status)
 		return cli_fail(cli, CLI_USAGE, "%s", strerror(status));
-	list = cli->options[OPT_CONTROL] ? cli->options[OPT_CONTROL] :
-					   cli->options[OPT_ENTRY];
+	/* --control may be given to explain as to all others, without use. */
+	list = cli->options[OPT_ENTRY] ? cli->options[OPT_ENTRY] :
+					 cli->options[OPT_CONTROL];
 	if (list)
 		status = parse_addresses(cli, list);
 	if (!status)
--- a/almondward/cli_call.c
+++ b/almondward/cli_call.c
@@ -3,8 +3,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* 10 s: several elections, each of which takes about 2 s. */
-#define ROUNDS_MAX 20
+/*
+ * Covers several elections, each of which takes about 2 s, and one instance
+ * that is silent twice.
+ */
+#define PATIENCE_MS 15000
 #define ROUND_PAUSE_MS 500
 
 enum answer {
@@ -17,6 +20,7 @@
 struct attempt {
 	bool unknown; /* a change may have been made */
 	bool not_leader;
+	uint32_t spent_ms; /* in pauses and in waiting for silent instances */
 	char leader[NAME_BYTES_MAX]; /* as named by the last that is not */
 };
 
@@ -66,6 +70,7 @@
 	case CLI_CALL_NOT_SENT:
 		return ANSWER_NONE;
 	case CLI_CALL_LOST:
+		attempt->spent_ms += CLI_CALL_TIMEOUT_MS;
 		return ANSWER_UNKNOWN;
 	case CLI_CALL_DONE:
 		return classify(reply, attempt);
@@ -143,15 +148,15 @@
 {
 	struct attempt attempt = { .unknown = false };
 	bool final;
-	int round;
 
 	request->token = cli->token;
-	for (round = 0; round < ROUNDS_MAX; round++) {
-		if (round)
-			cli->env->pause(cli->env->arg, ROUND_PAUSE_MS);
+	for (;;) {
 		final = ask_all(cli, request, reply, &attempt);
-		if (final || (!attempt.not_leader && !attempt.unknown))
+		if (final || (!attempt.not_leader && !attempt.unknown) ||
+		    attempt.spent_ms >= PATIENCE_MS)
 			break;
+		cli->env->pause(cli->env->arg, ROUND_PAUSE_MS);
+		attempt.spent_ms += ROUND_PAUSE_MS;
 	}
 	if (unknown)
 		*unknown = !final && attempt.unknown;
--- a/almondward/cli_system.c
+++ b/almondward/cli_system.c
@@ -10,7 +10,6 @@
 #include "store.h"
 
 #define CONNECT_TIMEOUT_MS 3000
-#define CALL_TIMEOUT_MS 10000
 #define ANSWER_BYTES_MAX 67108864
 #define HEADERS_MAX 5
 
@@ -88,7 +87,7 @@
 		.body = (const uint8_t *)request->body,
 		.body_bytes = request->body_bytes,
 		.answer_max_bytes = ANSWER_BYTES_MAX,
-		.timeout_ms = CALL_TIMEOUT_MS,
+		.timeout_ms = CLI_CALL_TIMEOUT_MS,
 		.done = on_done,
 		.arg = &call,
 	};
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -332,6 +332,16 @@
 	EXPECT_EQ(calls[0].id, calls[2].id);
 }
 
+// A silent instance must not hold an operator up for minutes.
+TEST_F(Cli, SilentInstancesEndTheWaiting)
+{
+	responder = [](const struct sent &, unsigned *, std::string *) {
+		return CLI_CALL_LOST;
+	};
+	EXPECT_EQ(CLI_UNREACHABLE, run("drain cancel d1" + system_options));
+	EXPECT_EQ(3u, calls.size());
+}
+
 // "Refused" after a lost answer says nothing about the first sending.
 TEST_F(Cli, UnknownOutcomeIsReportedWithTheId)
 {
@@ -467,7 +477,8 @@
 TEST_F(Cli, ExplainAsksAllInstances)
 {
 	const std::string line = "explain e1-0123456789abcdef --token-file "
-				 "@token --entry 127.0.0.1:1,127.0.0.1:2";
+				 "@token --entry 127.0.0.1:1,127.0.0.1:2 "
+				 "--control 127.0.0.1:9";
 
 	responder = [](const struct sent &sent, unsigned *status,
 		       std::string *body) {
