--- a/almondward/key_scan.c
+++ b/almondward/key_scan.c
@@ -32,7 +32,8 @@
 	const char *pos = text, *end = text + len_bytes;
 
 	while ((size_t)(end - pos) >= KEY_CHARS) {
-		pos = memmem(pos, (size_t)(end - pos), KEY_PREFIX, PREFIX_BYTES);
+		pos = memmem(pos, (size_t)(end - pos), KEY_PREFIX,
+			     PREFIX_BYTES);
 		if (!pos || (size_t)(end - pos) < KEY_CHARS)
 			return false;
 		if (key_has_form(pos, KEY_CHARS))
