--- a/almondward/agent.c
+++ b/almondward/agent.c
@@ -387,6 +387,11 @@
 		agent->next_report_ms = now_ms + REPORT_INTERVAL_MS;
 }
 
+void agent_flush(struct agent *agent)
+{
+	report_if_due(agent, clk_now_ms(agent->clk));
+}
+
 void agent_tick(struct agent *agent)
 {
 	uint64_t now_ms = clk_now_ms(agent->clk);
--- a/almondward/agent.h
+++ b/almondward/agent.h
@@ -99,9 +99,11 @@
 void agent_set_leaving(struct agent *agent);
 
 /*
- * Sends a report as soon as the rules allow.
+ * Asks for a report as soon as the rules allow; agent_flush() sends it if they
+ * allow it now, else a later agent_tick() does.
  */
 void agent_report_soon(struct agent *agent);
+void agent_flush(struct agent *agent);
 
 /* ---- tokens ---- */
 
--- a/almondward/entry_core.c
+++ b/almondward/entry_core.c
@@ -178,6 +178,8 @@
 		}
 	}
 	ctr_set_value(core->active_gauge, core->nr_active);
+	/* Requests that wait for tokens or slots should not wait for a tick. */
+	agent_flush(core->agent);
 }
 
 static void pump_all(struct core *core)
