--- /dev/null
+++ b/almondward/alloc_slots.c
@@ -0,0 +1,663 @@
+#include "alloc_internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * A demand that falls is followed slowly, so that slots do not move with every
+ * gap between two requests.
+ */
+#define DEMAND_DECAY_MS 2000
+
+struct alloc_slots *alloc_slots_create(struct clk *clk, uint64_t term)
+{
+	struct alloc_slots *slots = calloc(1, sizeof(*slots));
+
+	if (!slots)
+		return NULL;
+	slots->clk = clk;
+	slots->term = term;
+	slots->created_ms = clk_now_ms(clk);
+	return slots;
+}
+
+static void drop_demand(struct slot_holder *holder, struct slot_demand *demand)
+{
+	HASH_DEL(holder->demands, demand);
+	free(demand);
+}
+
+static void drop_pair(struct slot_holder *holder, struct slot_pair *pair)
+{
+	HASH_DEL(holder->pairs, pair);
+	free(pair);
+}
+
+static void drop_holder(struct alloc_slots *slots, struct slot_holder *holder)
+{
+	struct slot_demand *demand;
+	struct slot_pair *pair;
+
+	while ((demand = holder->demands))
+		drop_demand(holder, demand);
+	while ((pair = holder->pairs))
+		drop_pair(holder, pair);
+	HASH_DEL(slots->holders, holder);
+	free(holder);
+}
+
+static void drop_server(struct alloc_slots *slots, struct slot_server *server)
+{
+	HASH_DEL(slots->servers, server);
+	free(server);
+}
+
+static void drop_upstream(struct alloc_slots *slots, struct slot_upstream *up)
+{
+	HASH_DEL(slots->upstreams, up);
+	free(up);
+}
+
+void alloc_slots_destroy(struct alloc_slots *slots)
+{
+	struct slot_holder *holder;
+	struct slot_server *server;
+	struct slot_upstream *up;
+
+	if (!slots)
+		return;
+	while ((holder = slots->holders))
+		drop_holder(slots, holder);
+	while ((server = slots->servers))
+		drop_server(slots, server);
+	while ((up = slots->upstreams))
+		drop_upstream(slots, up);
+	free(slots->grants);
+	free(slots);
+}
+
+void alloc_slots_set_deadline(struct alloc_slots *slots, uint64_t deadline_ms)
+{
+	slots->deadline_ms = deadline_ms;
+}
+
+static enum alloc_error set_server(struct alloc_slots *slots,
+				   const struct alloc_server *from)
+{
+	uint64_t now_ms = clk_now_ms(slots->clk);
+	struct slot_server *server;
+
+	HASH_FIND_STR(slots->servers, from->address, server);
+	if (!server) {
+		server = calloc(1, sizeof(*server));
+		if (!server)
+			return ALLOC_ERR_MEMORY;
+		snprintf(server->address, sizeof(server->address), "%s",
+			 from->address);
+		HASH_ADD_STR(slots->servers, address, server);
+		server->incarnation = from->incarnation;
+		server->since_ms = now_ms;
+		server->warm = now_ms < slots->created_ms + FLEET_LEASE_MS;
+	} else if (server->incarnation != from->incarnation) {
+		server->incarnation = from->incarnation;
+		server->since_ms = now_ms;
+		server->warm = false;
+	}
+	snprintf(server->upstream, sizeof(server->upstream), "%s",
+		 from->upstream);
+	snprintf(server->zone, sizeof(server->zone), "%s", from->zone);
+	snprintf(server->region, sizeof(server->region), "%s", from->region);
+	server->slots = from->slots;
+	server->usable = from->usable < from->slots ? from->usable :
+						      from->slots;
+	server->marked = true;
+	return ALLOC_OK;
+}
+
+enum alloc_error alloc_slots_set_servers(struct alloc_slots *slots,
+					 const struct alloc_server *servers,
+					 size_t nr)
+{
+	struct slot_server *server, *next;
+	size_t i;
+
+	for (i = 0; i < nr; i++)
+		if (set_server(slots, &servers[i]))
+			return ALLOC_ERR_MEMORY;
+	HASH_ITER(hh, slots->servers, server, next)
+	{
+		if (!server->marked)
+			drop_server(slots, server);
+		else
+			server->marked = false;
+	}
+	return ALLOC_OK;
+}
+
+enum alloc_error alloc_slots_set_upstreams(struct alloc_slots *slots,
+					   const struct alloc_upstream *ups,
+					   size_t nr)
+{
+	struct slot_upstream *up, *next;
+	size_t i;
+
+	for (i = 0; i < nr; i++) {
+		HASH_FIND_STR(slots->upstreams, ups[i].name, up);
+		if (!up) {
+			up = calloc(1, sizeof(*up));
+			if (!up)
+				return ALLOC_ERR_MEMORY;
+			snprintf(up->name, sizeof(up->name), "%s", ups[i].name);
+			HASH_ADD_STR(slots->upstreams, name, up);
+		}
+		up->connections_max = ups[i].connections_max;
+		up->cross_region = ups[i].cross_region;
+		up->marked = true;
+	}
+	HASH_ITER(hh, slots->upstreams, up, next)
+	{
+		if (!up->marked)
+			drop_upstream(slots, up);
+		else
+			up->marked = false;
+	}
+	return ALLOC_OK;
+}
+
+uint32_t alloc_pair_counted(const struct slot_pair *pair)
+{
+	uint32_t counted = pair->held;
+
+	/* Targets only fall along the list, so the first is the highest. */
+	if (pair->nr_targets && pair->targets[0].slots > counted)
+		counted = pair->targets[0].slots;
+	return counted;
+}
+
+/*
+ * Drops the targets that a Grant up to that sequence gave.
+ */
+static void acknowledge(struct slot_pair *pair, uint64_t sequence)
+{
+	uint32_t nr = 0;
+
+	while (nr < pair->nr_targets && pair->targets[nr].sequence <= sequence)
+		nr++;
+	pair->nr_targets -= nr;
+	memmove(pair->targets, pair->targets + nr,
+		pair->nr_targets * sizeof(pair->targets[0]));
+}
+
+/*
+ * A later target that is higher covers the earlier ones. When the list is
+ * full, the last place covers two targets with the higher one.
+ */
+static void push_target(struct slot_pair *pair, uint64_t sequence,
+			uint32_t target)
+{
+	while (pair->nr_targets &&
+	       pair->targets[pair->nr_targets - 1].slots <= target)
+		pair->nr_targets--;
+	if (pair->nr_targets == SLOT_TARGETS_MAX) {
+		pair->targets[pair->nr_targets - 1].sequence = sequence;
+		return;
+	}
+	pair->targets[pair->nr_targets].sequence = sequence;
+	pair->targets[pair->nr_targets].slots = target;
+	pair->nr_targets++;
+}
+
+static void set_pair_key(struct slot_pair_key *key, const char *address,
+			 uint64_t incarnation)
+{
+	memset(key, 0, sizeof(*key));
+	key->incarnation = incarnation;
+	snprintf(key->address, sizeof(key->address), "%s", address);
+}
+
+struct slot_pair *alloc_find_pair(const struct slot_holder *holder,
+				  const struct slot_server *server)
+{
+	struct slot_pair_key key;
+	struct slot_pair *pair;
+
+	set_pair_key(&key, server->address, server->incarnation);
+	HASH_FIND(hh, holder->pairs, &key, sizeof(key), pair);
+	return pair;
+}
+
+static struct slot_pair *get_pair(struct slot_holder *holder,
+				  const char *address, uint64_t incarnation)
+{
+	struct slot_pair_key key;
+	struct slot_pair *pair;
+
+	set_pair_key(&key, address, incarnation);
+	HASH_FIND(hh, holder->pairs, &key, sizeof(key), pair);
+	if (pair)
+		return pair;
+	pair = calloc(1, sizeof(*pair));
+	if (!pair)
+		return NULL;
+	pair->key = key;
+	HASH_ADD(hh, holder->pairs, key, sizeof(pair->key), pair);
+	return pair;
+}
+
+static struct slot_holder *get_holder(struct alloc_slots *slots,
+				      const Aw__Report *report)
+{
+	struct slot_holder_key key = { .incarnation =
+					       report->instance_incarnation };
+	struct slot_holder *holder, *other;
+
+	snprintf(key.name, sizeof(key.name), "%s", report->instance->name);
+	HASH_FIND(hh, slots->holders, &key, sizeof(key), holder);
+	if (holder)
+		return holder;
+	for (other = slots->holders; other; other = other->hh.next)
+		if (!strcmp(other->key.name, key.name))
+			other->replaced = true;
+	holder = calloc(1, sizeof(*holder));
+	if (!holder)
+		return NULL;
+	holder->key = key;
+	HASH_ADD(hh, slots->holders, key, sizeof(holder->key), holder);
+	return holder;
+}
+
+static uint64_t decayed(const struct slot_demand *demand, uint64_t now_ms)
+{
+	uint64_t age_ms = now_ms - demand->peak_ms;
+
+	if (age_ms >= DEMAND_DECAY_MS)
+		return 0;
+	return ((uint64_t)demand->peak * (DEMAND_DECAY_MS - age_ms) +
+		DEMAND_DECAY_MS - 1) /
+	       DEMAND_DECAY_MS;
+}
+
+uint32_t alloc_demand_now(const struct slot_demand *demand, uint64_t now_ms)
+{
+	uint64_t peak = decayed(demand, now_ms);
+
+	return demand->last > peak ? demand->last : (uint32_t)peak;
+}
+
+struct slot_demand *alloc_find_demand(const struct slot_holder *holder,
+				      const char *upstream)
+{
+	struct slot_demand *demand;
+
+	HASH_FIND_STR(holder->demands, upstream, demand);
+	return demand;
+}
+
+static enum alloc_error book_demands(struct slot_holder *holder,
+				     const Aw__Report *report, uint64_t now_ms)
+{
+	struct slot_demand *demand, *next;
+	size_t i;
+
+	HASH_ITER(hh, holder->demands, demand, next)
+	{
+		demand->last = 0;
+		demand->in_use = 0;
+		if (now_ms - demand->peak_ms > TOMBSTONE_MS)
+			drop_demand(holder, demand);
+	}
+	for (i = 0; i < report->n_demands; i++) {
+		const Aw__SlotDemand *from = report->demands[i];
+		uint64_t sum = (uint64_t)from->in_use + from->queued;
+
+		demand = alloc_find_demand(holder, from->upstream);
+		if (!demand) {
+			demand = calloc(1, sizeof(*demand));
+			if (!demand)
+				return ALLOC_ERR_MEMORY;
+			snprintf(demand->upstream, sizeof(demand->upstream),
+				 "%s", from->upstream);
+			HASH_ADD_STR(holder->demands, upstream, demand);
+		}
+		demand->last = sum > ALLOC_DEMAND_MAX ? ALLOC_DEMAND_MAX :
+							(uint32_t)sum;
+		demand->in_use = from->in_use;
+		if (demand->last >= decayed(demand, now_ms)) {
+			demand->peak = demand->last;
+			demand->peak_ms = now_ms;
+		}
+	}
+	return ALLOC_OK;
+}
+
+static enum alloc_error book_slots(struct alloc_slots *slots,
+				   struct slot_holder *holder,
+				   const Aw__Report *report)
+{
+	struct slot_pair *pair, *next;
+	size_t i;
+
+	HASH_ITER(hh, holder->pairs, pair, next)
+	{
+		pair->held = 0;
+		if (report->grant_term == slots->term)
+			acknowledge(pair, report->grant_sequence);
+	}
+	for (i = 0; i < report->n_slots; i++) {
+		const Aw__SlotReport *from = report->slots[i];
+
+		if (!from->held)
+			continue;
+		pair = get_pair(holder, from->address, from->incarnation);
+		if (!pair)
+			return ALLOC_ERR_MEMORY;
+		pair->held = from->held;
+	}
+	return ALLOC_OK;
+}
+
+/*
+ * Drops pairs that hold nothing, and those with a server that is known to have
+ * started again: the new process has free slots.
+ */
+static void drop_idle_pairs(struct alloc_slots *slots,
+			    struct slot_holder *holder)
+{
+	struct slot_pair *pair, *next;
+	struct slot_server *server;
+
+	HASH_ITER(hh, holder->pairs, pair, next)
+	{
+		HASH_FIND_STR(slots->servers, pair->key.address, server);
+		if (!alloc_pair_counted(pair) ||
+		    (server && server->incarnation > pair->key.incarnation))
+			drop_pair(holder, pair);
+	}
+}
+
+void alloc_slots_expire(struct alloc_slots *slots)
+{
+	uint64_t now_ms = clk_now_ms(slots->clk);
+	struct slot_holder *holder, *next;
+
+	HASH_ITER(hh, slots->holders, holder, next)
+	{
+		if (holder->seen_ms + FLEET_LEASE_MS + slots->deadline_ms <
+		    now_ms)
+			drop_holder(slots, holder);
+	}
+}
+
+bool alloc_holder_active(const struct slot_holder *holder, uint64_t now_ms)
+{
+	return !holder->replaced && holder->seen_ms + PEER_SILENT_MS > now_ms;
+}
+
+uint32_t alloc_server_counted(const struct alloc_slots *slots,
+			      const struct slot_server *server)
+{
+	const struct slot_holder *holder;
+	const struct slot_pair *pair;
+	uint32_t sum = 0;
+
+	for (holder = slots->holders; holder; holder = holder->hh.next) {
+		pair = alloc_find_pair(holder, server);
+		if (pair)
+			sum += alloc_pair_counted(pair);
+	}
+	return sum;
+}
+
+uint32_t alloc_server_cap(const struct alloc_slots *slots,
+			  const struct slot_server *server)
+{
+	uint64_t warm_slots;
+
+	if (server->warm)
+		return server->usable;
+	warm_slots = 1 + (clk_now_ms(slots->clk) - server->since_ms) /
+				 ALLOC_SLOW_START_MS;
+	return warm_slots < server->usable ? (uint32_t)warm_slots :
+					     server->usable;
+}
+
+/*
+ * Connections that the upstream still takes.
+ */
+static uint32_t connections_left(const struct alloc_slots *slots,
+				 const struct slot_server *server)
+{
+	struct slot_upstream *up;
+	struct alloc_load load;
+
+	HASH_FIND_STR(slots->upstreams, server->upstream, up);
+	if (!up || !up->connections_max)
+		return UINT32_MAX;
+	alloc_slots_load((struct alloc_slots *)slots, server->upstream, NULL,
+			 &load);
+	return load.held < up->connections_max ?
+		       up->connections_max - load.held :
+		       0;
+}
+
+/*
+ * Target of a pair that wants a number of slots: lower at once, higher only by
+ * what nobody is counted to hold.
+ */
+static uint32_t target_for(const struct alloc_slots *slots,
+			   const struct slot_server *server,
+			   const struct slot_pair *pair, uint32_t wanted)
+{
+	uint32_t counted = pair ? alloc_pair_counted(pair) : 0;
+	uint32_t all, cap, more, left;
+
+	if (wanted <= counted)
+		return wanted;
+	all = alloc_server_counted(slots, server);
+	cap = alloc_server_cap(slots, server);
+	if (all >= cap)
+		return counted;
+	more = wanted - counted;
+	if (more > cap - all)
+		more = cap - all;
+	left = connections_left(slots, server);
+	return counted + (more < left ? more : left);
+}
+
+static enum alloc_error add_grant(struct alloc_slots *slots,
+				  const char *address, uint64_t incarnation,
+				  uint32_t target)
+{
+	Aw__SlotGrant *grant;
+
+	if (slots->nr_grants == slots->max_grants) {
+		size_t max = slots->max_grants ? 2 * slots->max_grants : 64;
+
+		grant = realloc(slots->grants, max * sizeof(*grant));
+		if (!grant)
+			return ALLOC_ERR_MEMORY;
+		slots->grants = grant;
+		slots->max_grants = max;
+	}
+	grant = &slots->grants[slots->nr_grants++];
+	aw__slot_grant__init(grant);
+	grant->address = (char *)address;
+	grant->incarnation = incarnation;
+	grant->slots = target;
+	return ALLOC_OK;
+}
+
+static enum alloc_error grant_server(struct alloc_slots *slots,
+				     struct slot_holder *holder,
+				     const struct slot_server *server,
+				     uint32_t wanted, uint64_t sequence)
+{
+	struct slot_pair *pair = alloc_find_pair(holder, server);
+	uint32_t target;
+
+	target = target_for(slots, server, pair, wanted);
+	if (!pair && !target)
+		return ALLOC_OK;
+	pair = get_pair(holder, server->address, server->incarnation);
+	if (!pair)
+		return ALLOC_ERR_MEMORY;
+	push_target(pair, sequence, target);
+	return add_grant(slots, pair->key.address, pair->key.incarnation,
+			 target);
+}
+
+/*
+ * While targets of an earlier leader may still arrive at an instance, what it
+ * reported can be out of date both ways, so even "keep what you hold" could
+ * raise. Only servers that are known not to be usable get a target.
+ */
+static enum alloc_error grant_as_found(struct alloc_slots *slots,
+				       struct slot_holder *holder,
+				       uint64_t sequence)
+{
+	struct slot_pair *pair, *next;
+	struct slot_server *server;
+
+	HASH_ITER(hh, holder->pairs, pair, next)
+	{
+		HASH_FIND_STR(slots->servers, pair->key.address, server);
+		if (!server || server->usable)
+			continue;
+		push_target(pair, sequence, 0);
+		if (add_grant(slots, pair->key.address, pair->key.incarnation,
+			      0))
+			return ALLOC_ERR_MEMORY;
+	}
+	return ALLOC_OK;
+}
+
+/*
+ * Whether the picture of the held slots is complete. An instance can apply a
+ * Grant of an earlier leader after its first Report here; the Grant is void
+ * FLEET_LEASE_MS after the Report that it answers, or when the instance has
+ * applied a Grant of this leader.
+ */
+static bool is_settled(const struct alloc_slots *slots)
+{
+	uint64_t now_ms = clk_now_ms(slots->clk);
+	const struct slot_holder *holder;
+
+	if (now_ms < slots->created_ms + FLEET_LEASE_MS)
+		return false;
+	if (now_ms >= slots->created_ms + (uint64_t)2 * FLEET_LEASE_MS)
+		return true;
+	for (holder = slots->holders; holder; holder = holder->hh.next)
+		if (!holder->confirmed && !holder->replaced)
+			return false;
+	return true;
+}
+
+/*
+ * Slots of servers that are not known any more are taken back.
+ */
+static enum alloc_error revoke_unknown(struct alloc_slots *slots,
+				       struct slot_holder *holder,
+				       uint64_t sequence)
+{
+	struct slot_pair *pair, *next;
+	struct slot_server *server;
+
+	HASH_ITER(hh, holder->pairs, pair, next)
+	{
+		HASH_FIND_STR(slots->servers, pair->key.address, server);
+		if (server && server->incarnation == pair->key.incarnation)
+			continue;
+		push_target(pair, sequence, 0);
+		if (add_grant(slots, pair->key.address, pair->key.incarnation,
+			      0))
+			return ALLOC_ERR_MEMORY;
+	}
+	return ALLOC_OK;
+}
+
+static enum alloc_error grant_planned(struct alloc_slots *slots,
+				      struct slot_holder *holder,
+				      uint64_t sequence)
+{
+	struct slot_server *server;
+	struct slot_upstream *up;
+
+	for (server = slots->servers; server; server = server->hh.next)
+		server->wanted = 0;
+	for (up = slots->upstreams; up; up = up->hh.next)
+		if (alloc_plan(slots, up, holder))
+			return ALLOC_ERR_MEMORY;
+	for (server = slots->servers; server; server = server->hh.next)
+		if (grant_server(slots, holder, server, server->wanted,
+				 sequence))
+			return ALLOC_ERR_MEMORY;
+	return revoke_unknown(slots, holder, sequence);
+}
+
+enum alloc_error alloc_slots_report(struct alloc_slots *slots,
+				    const Aw__Report *report,
+				    const char *region,
+				    const Aw__SlotGrant **grants, size_t *nr)
+{
+	uint64_t now_ms = clk_now_ms(slots->clk);
+	struct slot_holder *holder;
+	enum alloc_error err;
+
+	alloc_slots_expire(slots);
+	holder = get_holder(slots, report);
+	if (!holder)
+		return ALLOC_ERR_MEMORY;
+	holder->seen_ms = now_ms;
+	holder->leaving =
+		report->instance->state == AW__INSTANCE_STATE__INSTANCE_LEAVING;
+	snprintf(holder->zone, sizeof(holder->zone), "%s",
+		 report->instance->zone);
+	snprintf(holder->region, sizeof(holder->region), "%s", region);
+	if (book_demands(holder, report, now_ms) ||
+	    book_slots(slots, holder, report))
+		return ALLOC_ERR_MEMORY;
+	drop_idle_pairs(slots, holder);
+	slots->nr_grants = 0;
+	if (report->grant_term == slots->term)
+		holder->confirmed = true;
+	if (!is_settled(slots))
+		err = grant_as_found(slots, holder, report->sequence);
+	else
+		err = grant_planned(slots, holder, report->sequence);
+	*grants = slots->grants;
+	*nr = slots->nr_grants;
+	return err;
+}
+
+void alloc_slots_load(struct alloc_slots *slots, const char *upstream,
+		      const char *region, struct alloc_load *load)
+{
+	uint64_t now_ms = clk_now_ms(slots->clk);
+	const struct slot_holder *holder;
+	const struct slot_demand *demand;
+	const struct slot_server *server;
+
+	memset(load, 0, sizeof(*load));
+	for (holder = slots->holders; holder; holder = holder->hh.next) {
+		if (region && strcmp(holder->region, region) != 0)
+			continue;
+		demand = alloc_find_demand(holder, upstream);
+		if (!demand)
+			continue;
+		load->demand += alloc_demand_now(demand, now_ms);
+		load->in_use += demand->in_use;
+	}
+	for (server = slots->servers; server; server = server->hh.next)
+		if (!strcmp(server->upstream, upstream) &&
+		    (!region || !strcmp(server->region, region)))
+			load->held += alloc_server_counted(slots, server);
+}
+
+uint32_t alloc_slots_held(struct alloc_slots *slots, const char *address)
+{
+	struct slot_server *server;
+
+	HASH_FIND_STR(slots->servers, address, server);
+	return server ? alloc_server_counted(slots, server) : 0;
+}
