Test nesting depth, selectors and long lines of the document

Each of the three could be removed from the code without a failing test: the limit of the nesting depth, the zone and region of an exception in the written document, and the unlimited line width that config diff needs.

--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -45,7 +45,10 @@
 	"    customer: acme\n"
 	"    route: commit\n"
 	"  - {name: acme-all, setting: deadline_ms, value: 9000,\n"
-	"     reason: agreed, customer: acme}\n";
+	"     reason: agreed, customer: acme}\n"
+	"  - {name: near-only, setting: cross_region, value: 0, upstream: orders,\n"
+	"     reason: the links carry drawings at night and have no room for more,\n"
+	"     zone: a1, region: a}\n";
 
 struct config_deleter {
 	void operator()(Aw__Config *config) const
@@ -164,6 +167,7 @@
 		{ "name: bolt", "name: *x", "f:6: ", "aliases" },
 		{ "zones:", "---\n{}\n---\nzones:", "f:3: ", "document" },
 		{ "zones:", "[", "f:", "not YAML" },
+		{ "zones:", "[[[[[[[[[[[[[[[[[\nzones:", "f:1: ", "deeper" },
 		{ "name: bolt", "name: \"a\\0b\"", "f:6: ", "NUL" },
 	};
 	std::string error;
@@ -198,11 +202,17 @@
 	ASSERT_TRUE(again) << error << "\n" << text;
 	EXPECT_EQ(pack(config.get()), pack(again.get()));
 	EXPECT_EQ(text, format(again.get()));
-	// config diff relies on one line for each object.
+	// config diff relies on one line for each object, however long.
 	EXPECT_NE(std::string::npos,
 		  text.find("\n- {name: acme, rate_per_s: 10, burst: 20, "
 			    "weight: 1}\n"))
 		<< text;
+	EXPECT_NE(std::string::npos,
+		  text.find("\n- {name: near-only, setting: cross_region, "
+			    "value: 0, reason: the links carry drawings at "
+			    "night and have no room for more, upstream: "
+			    "orders, zone: a1, region: a}\n"))
+		<< text;
 }
 
 // Reasons are free text: YAML indicators in them must survive.
