--- a/almondward/cli.c
+++ b/almondward/cli.c
@@ -30,9 +30,8 @@
 	{ "config show", NULL, "Print the configuration in force.",
 	  OPTIONS_READ, SYSTEM_REQUIRED, cli_config_show },
 	{ "config diff", "FILE",
-	  "Compare the configuration in force with a document.",
-	  OPT_BIT(OPT_CONTROL) | OPT_BIT(OPT_TOKEN_FILE), SYSTEM_REQUIRED,
-	  cli_config_diff },
+	  "Compare the configuration in force with a document.", OPTIONS_READ,
+	  SYSTEM_REQUIRED, cli_config_diff },
 	{ "exception add", "NAME", "Add an exception to a policy value.",
 	  OPTIONS_CHANGE | SELECTORS | OPT_BIT(OPT_SETTING) |
 		  OPT_BIT(OPT_VALUE) | OPT_BIT(OPT_REASON),
--- a/almondward/cli_call.c
+++ b/almondward/cli_call.c
@@ -167,16 +167,31 @@
 	return cli_report_refusal(cli, reply);
 }
 
+int cli_send_change(struct cli *cli, struct cli_request *request)
+{
+	struct cli_reply reply = { .status = 0 };
+	bool unknown;
+	int status;
+
+	request->request_id = cli->request_id;
+	request->if_match = cli->if_match;
+	status = cli_send(cli, request, &reply, &unknown);
+	if (!status)
+		status = cli_print_reply(cli, &reply);
+	else if (unknown)
+		cli_fail(cli, 0,
+			 "run the same command with --request-id %s to learn "
+			 "the outcome",
+			 cli->request_id);
+	buf_release(&reply.body);
+	return status;
+}
+
 int cli_change(struct cli *cli, const char *method, const char *target,
 	       cJSON *body)
 {
-	struct cli_request request = { .method = method,
-				       .target = target,
-				       .request_id = cli->request_id,
-				       .if_match = cli->if_match };
-	struct cli_reply reply = { .status = 0 };
+	struct cli_request request = { .method = method, .target = target };
 	char *text = NULL;
-	bool unknown;
 	int status;
 
 	if (body) {
@@ -189,16 +204,8 @@
 		request.body = text;
 		request.body_bytes = strlen(text);
 	}
-	status = cli_send(cli, &request, &reply, &unknown);
-	if (!status)
-		status = cli_print_reply(cli, &reply);
-	else if (unknown)
-		cli_fail(cli, 0,
-			 "run the same command with --request-id %s to learn "
-			 "the outcome",
-			 cli->request_id);
+	status = cli_send_change(cli, &request);
 	cJSON_free(text);
-	buf_release(&reply.body);
 	return status;
 }
 
--- a/almondward/cli_config.c
+++ b/almondward/cli_config.c
@@ -95,32 +95,19 @@
 {
 	struct cli_request request = { .method = "PUT",
 				       .target = "/v1/config",
-				       .request_id = cli->request_id,
-				       .if_match = cli->if_match,
 				       .content_type = "application/yaml" };
-	struct cli_reply reply = { .status = 0 };
 	struct buf text = BUF_INIT;
 	Aw__Config *config = NULL;
-	bool unknown = false;
 	int status;
 
 	status = load_document(cli, cli->operand, &text, &config);
-	if (status)
-		goto out;
-	request.body = (const char *)text.data;
-	request.body_bytes = text.len_bytes;
-	status = cli_send(cli, &request, &reply, &unknown);
-	if (!status)
-		status = cli_print_reply(cli, &reply);
-	else if (unknown)
-		cli_fail(cli, 0,
-			 "run the same command with --request-id %s to learn "
-			 "the outcome",
-			 cli->request_id);
-out:
+	if (!status) {
+		request.body = (const char *)text.data;
+		request.body_bytes = text.len_bytes;
+		status = cli_send_change(cli, &request);
+	}
 	if (config)
 		aw__config__free_unpacked(config, NULL);
-	buf_release(&reply.body);
 	buf_release(&text);
 	return status;
 }
@@ -133,16 +120,26 @@
 	return cli_send(cli, &request, reply, NULL);
 }
 
-static int print_config_json(struct cli *cli, const struct cli_reply *reply)
+static cJSON *json_with_version(const struct cli_reply *reply)
 {
 	cJSON *json = cJSON_CreateObject();
-	char *text = NULL;
+	const char *version = reply->version;
+	size_t len_bytes = strlen(version);
+
+	/* Raw: a version may be above what a cJSON number holds exactly. */
+	if (!len_bytes || strspn(version, "0123456789") != len_bytes)
+		version = "null";
+	cJSON_AddRawToObject(json, "version", version);
+	return json;
+}
+
+/*
+ * Prints and deletes json.
+ */
+static int print_json(struct cli *cli, cJSON *json)
+{
+	char *text = cJSON_PrintUnformatted(json);
 
-	/* As text: a version may be above what a JSON number holds exactly. */
-	cJSON_AddRawToObject(json, "version",
-			     *reply->version ? reply->version : "null");
-	cJSON_AddStringToObject(json, "config", (char *)reply->body.data);
-	text = cJSON_PrintUnformatted(json);
 	cJSON_Delete(json);
 	if (!text)
 		return cli_fail(cli, CLI_REFUSED, "memory is exhausted");
@@ -151,6 +148,14 @@
 	return CLI_DONE;
 }
 
+static int print_config_json(struct cli *cli, const struct cli_reply *reply)
+{
+	cJSON *json = json_with_version(reply);
+
+	cJSON_AddStringToObject(json, "config", (char *)reply->body.data);
+	return print_json(cli, json);
+}
+
 int cli_config_show(struct cli *cli)
 {
 	struct cli_reply reply = { .status = 0 };
@@ -165,6 +170,70 @@
 	return status;
 }
 
+struct diff_output {
+	FILE *out;
+	char section[32]; /* printed last */
+	cJSON *json; /* array of differences */
+};
+
+/*
+ * A line at the margin is the name of a section itself.
+ */
+static void print_difference(void *arg, const struct cli_difference *difference)
+{
+	struct diff_output *output = arg;
+	char section[sizeof(output->section)];
+
+	snprintf(section, sizeof(section), "%.*s",
+		 (int)difference->section_bytes, difference->section);
+	if (difference->section != difference->line &&
+	    strcmp(section, output->section) != 0) {
+		fprintf(output->out, "  %s:\n", section);
+		memcpy(output->section, section, sizeof(section));
+	}
+	fprintf(output->out, "%c %.*s\n",
+		difference->kind == CLI_ADDED ? '+' : '-',
+		(int)difference->line_bytes, difference->line);
+}
+
+static void add_difference(void *arg, const struct cli_difference *difference)
+{
+	struct diff_output *output = arg;
+	cJSON *item = cJSON_CreateObject();
+	char *section = strndup(difference->section, difference->section_bytes);
+	char *line = strndup(difference->line, difference->line_bytes);
+
+	cJSON_AddStringToObject(item, "change",
+				difference->kind == CLI_ADDED ? "added" :
+								"removed");
+	cJSON_AddStringToObject(item, "section", section ? section : "");
+	cJSON_AddStringToObject(item, "line", line ? line : "");
+	cJSON_AddItemToArray(output->json, item);
+	free(section);
+	free(line);
+}
+
+/*
+ * Prints the differences of two documents in canonical form.
+ */
+static int print_diff(struct cli *cli, const struct cli_reply *reply,
+		      const char *old_text, const char *new_text)
+{
+	struct diff_output output = { .out = cli->env->out };
+	cJSON *json;
+
+	if (cli->options[OPT_JSON]) {
+		json = json_with_version(reply);
+		output.json = cJSON_AddArrayToObject(json, "differences");
+		cli_diff(old_text, new_text, add_difference, &output);
+		return print_json(cli, json);
+	}
+	if (!cli_diff(old_text, new_text, print_difference, &output))
+		fprintf(cli->env->out, "no difference from version %s\n",
+			reply->version);
+	return CLI_DONE;
+}
+
 static int diff_configs(struct cli *cli, const Aw__Config *config,
 			const struct cli_reply *reply)
 {
@@ -185,10 +254,8 @@
 		status = cli_fail(cli, CLI_REFUSED, "memory is exhausted");
 		goto out;
 	}
-	if (!cli_diff(cli->env->out, (char *)old_text.data,
-		      (char *)new_text.data))
-		fprintf(cli->env->out, "no difference from version %s\n",
-			reply->version);
+	status = print_diff(cli, reply, (char *)old_text.data,
+			    (char *)new_text.data);
 out:
 	if (current)
 		aw__config__free_unpacked(current, NULL);
--- a/almondward/cli_diff.c
+++ b/almondward/cli_diff.c
@@ -20,9 +20,9 @@
 };
 
 struct output {
-	FILE *out;
-	const char *section; /* printed last */
-	size_t nr_printed;
+	cli_diff_fn fn;
+	void *arg;
+	size_t nr_changes;
 };
 
 static bool split(const char *text, struct lines *lines)
@@ -67,32 +67,31 @@
 	}
 }
 
-static void print_line(struct output *output, char sign,
-		       const struct lines *lines, size_t index)
+static void put_line(struct output *output, enum cli_change_kind kind,
+		     const struct lines *lines, size_t index)
 {
 	const struct line *line = &lines->items[index];
 	const char *section = section_of(lines, index);
-	size_t len_bytes = strcspn(section, "\n");
-
-	output->nr_printed++;
-	if (section != line->text &&
-	    (!output->section || strcspn(output->section, "\n") != len_bytes ||
-	     memcmp(output->section, section, len_bytes) != 0)) {
-		fprintf(output->out, "  %.*s\n", (int)len_bytes, section);
-		output->section = section;
-	}
-	fprintf(output->out, "%c %.*s\n", sign, (int)line->len_bytes,
-		line->text);
+	struct cli_difference difference = {
+		.kind = kind,
+		.section = section,
+		.section_bytes = strcspn(section, ":\n"),
+		.line = line->text,
+		.line_bytes = line->len_bytes,
+	};
+
+	output->nr_changes++;
+	output->fn(output->arg, &difference);
 }
 
 /*
- * Prints the differences of old[start..old_end) and new[start..new_end).
+ * Puts out the differences of old[start..old_end) and new[start..new_end).
  * common[i * width + j] is the length of the longest common subsequence from
  * these indices on.
  */
-static void print_changes(struct output *output, const struct lines *old,
-			  size_t old_end, const struct lines *new,
-			  size_t new_end, size_t start, const uint32_t *common)
+static void put_changes(struct output *output, const struct lines *old,
+			size_t old_end, const struct lines *new, size_t new_end,
+			size_t start, const uint32_t *common)
 {
 	size_t i = start, j = start, width = new_end - start + 1;
 
@@ -107,9 +106,9 @@
 			j++;
 		} else if (j == new_end ||
 			   (i < old_end && (!cell || cell[width] >= cell[1]))) {
-			print_line(output, '-', old, i++);
+			put_line(output, CLI_REMOVED, old, i++);
 		} else {
-			print_line(output, '+', new, j++);
+			put_line(output, CLI_ADDED, new, j++);
 		}
 	}
 }
@@ -141,9 +140,10 @@
 	return common;
 }
 
-size_t cli_diff(FILE *out, const char *old_text, const char *new_text)
+size_t cli_diff(const char *old_text, const char *new_text, cli_diff_fn fn,
+		void *arg)
 {
-	struct output output = { .out = out };
+	struct output output = { .fn = fn, .arg = arg };
 	struct lines old = { NULL, 0 }, new = { NULL, 0 };
 	size_t start = 0, old_end, new_end;
 	uint32_t *common = NULL;
@@ -161,10 +161,10 @@
 		new_end--;
 	}
 	common = common_table(&old, old_end, &new, new_end, start);
-	print_changes(&output, &old, old_end, &new, new_end, start, common);
+	put_changes(&output, &old, old_end, &new, new_end, start, common);
 out:
 	free(common);
 	free(old.items);
 	free(new.items);
-	return output.nr_printed;
+	return output.nr_changes;
 }
--- a/almondward/cli_internal.h
+++ b/almondward/cli_internal.h
@@ -83,6 +83,12 @@
 int cli_send(struct cli *cli, struct cli_request *request,
 	     struct cli_reply *reply, bool *unknown);
 
+/*
+ * Sends a change under the operator request id and prints the result. Sets the
+ * fields of request that all changes have in common.
+ */
+int cli_send_change(struct cli *cli, struct cli_request *request);
+
 /*
  * Sends a change with a JSON body, or none if body is NULL, and prints the
  * result. Deletes body.
@@ -106,11 +112,28 @@
 int cli_print_reply(struct cli *cli, const struct cli_reply *reply);
 void cli_print_text(FILE *out, const cJSON *value);
 
+enum cli_change_kind { CLI_REMOVED, CLI_ADDED };
+
+/*
+ * One line of one of two documents that the other does not have, and the
+ * section that it is in. The texts do not end with NUL.
+ */
+struct cli_difference {
+	enum cli_change_kind kind;
+	const char *section;
+	size_t section_bytes;
+	const char *line;
+	size_t line_bytes;
+};
+
+typedef void (*cli_diff_fn)(void *arg, const struct cli_difference *difference);
+
 /*
- * Prints the lines of two documents that differ, with the section they are
- * in. Returns how many there are.
+ * Calls fn for each difference, in the order of the documents. Returns how
+ * many there are.
  */
-size_t cli_diff(FILE *out, const char *old_text, const char *new_text);
+size_t cli_diff(const char *old_text, const char *new_text, cli_diff_fn fn,
+		void *arg);
 
 /*
  * Reads a file into out. Returns CLI_DONE, or CLI_USAGE with a message.
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -461,6 +461,11 @@
 	EXPECT_EQ(0u, out.find("# version 7\nzones:\n")) << out;
 	EXPECT_EQ(CLI_DONE, run("config diff @fleet" + system_options));
 	EXPECT_EQ("  zones:\n- - {name: b1, region: b}\n", out);
+	EXPECT_EQ(CLI_DONE, run("config diff --json @fleet" + system_options));
+	EXPECT_EQ("{\"version\":7,\"differences\":[{\"change\":\"removed\","
+		  "\"section\":\"zones\",\"line\":"
+		  "\"- {name: b1, region: b}\"}]}\n",
+		  out);
 	write("fleet", "zones: [{name: a1, region: a},"
 		       " {name: b1, region: c}]\n");
 	EXPECT_EQ(CLI_DONE, run("config diff @fleet" + system_options));
