--- a/almondward/settings.c
+++ b/almondward/settings.c
@@ -297,10 +297,35 @@
 	return true;
 }
 
+/*
+ * The list must have this instance if it is a control instance, and must not
+ * if it is an entry instance: peers tell instances apart by name.
+ */
+static bool check_own_name(struct reader *reader)
+{
+	const struct set_settings *settings = reader->settings;
+	bool control = settings->role == AW__ROLE__ROLE_CONTROL;
+	bool listed = false;
+	size_t i;
+
+	for (i = 0; i < settings->nr_controls; i++)
+		listed |= !strcmp(settings->controls[i].name, settings->name);
+	if (listed == control)
+		return true;
+	if (control)
+		return doc_fail(&reader->doc,
+				doc_line(reader->fields[F_CONTROLS]),
+				"controls does not contain \"%s\", the name of "
+				"this instance",
+				settings->name);
+	return doc_fail(&reader->doc, doc_line(reader->fields[F_NAME]),
+			"name \"%s\" is that of a control instance",
+			settings->name);
+}
+
 static bool read_controls(struct reader *reader)
 {
 	const yaml_node_t *node = reader->fields[F_CONTROLS];
-	struct set_settings *settings = reader->settings;
 	size_t i, nr;
 
 	if (!check_presence(reader, doc_root(&reader->doc), node, "controls",
@@ -315,16 +340,7 @@
 		if (!read_control(reader, doc_item(&reader->doc, node, i)))
 			return false;
 	}
-	if (settings->role == AW__ROLE__ROLE_ENTRY)
-		return true;
-	for (i = 0; i < nr; i++) {
-		if (!strcmp(settings->controls[i].name, settings->name))
-			return true;
-	}
-	return doc_fail(&reader->doc, doc_line(node),
-			"controls does not contain \"%s\", the name of this "
-			"instance",
-			settings->name);
+	return check_own_name(reader);
 }
 
 static bool read_secret(struct reader *reader, const yaml_node_t *node,
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -140,6 +140,8 @@
 		  "control, entry" },
 		{ entry_file, "role: entry\n", "", "f:1: \"role\"", "missing" },
 		{ entry_file, "name: e1", "name: E1", "f:2: name", "a-z" },
+		{ entry_file, "name: e1", "name: c2", "f:2: name",
+		  "control instance" },
 		{ entry_file, "name: e1", "names: e1", "f:2: unknown",
 		  "\"names\"" },
 		{ entry_file, "zone: a1", "name: e1", "f:3: ", "repeated" },
