Retry on an ejected server rather than on one that just failed

A trial with stand-in servers and a stand-in leader ended with one of two servers ejected and the other dead: retries went to the dead one, and requests were refused with 502 connect although the ejected one worked. An ejected server is now used when all others have failed for the request or may not be used at all; one that is only full is still waited for.

The same trial sent 923 reports in 10 s, one with each request that had to wait for a slot. Demand for slots and slots that the leader waits for are now reported at most every 100 ms. The test of a late Grant waits 100 ms instead of 10 ms for the report without the freed slot; what it checks is unchanged.

--- a/almondward/agent.c
+++ b/almondward/agent.c
@@ -368,6 +368,12 @@
 	return false;
 }
 
+static bool demand_is_due(const struct agent *agent, uint64_t now_ms)
+{
+	return agent->demand_changed &&
+	       now_ms >= agent->last_report_ms + DEMAND_SPACING_MS;
+}
+
 static void report_if_due(struct agent *agent, uint64_t now_ms)
 {
 	bool periodic = now_ms >= agent->next_report_ms;
@@ -377,12 +383,14 @@
 	if (agent->sequence &&
 	    now_ms < agent->last_report_ms + REPORT_SPACING_MS)
 		return;
-	if (!periodic && !agent->report_wanted && !tokens_are_wanted(agent))
+	if (!periodic && !agent->report_wanted &&
+	    !demand_is_due(agent, now_ms) && !tokens_are_wanted(agent))
 		return;
 	if (!agent_send_report(agent, periodic))
 		return;
 	agent->last_report_ms = now_ms;
 	agent->report_wanted = false;
+	agent->demand_changed = false;
 	if (periodic)
 		agent->next_report_ms = now_ms + REPORT_INTERVAL_MS;
 }
--- a/almondward/agent_internal.h
+++ b/almondward/agent_internal.h
@@ -9,6 +9,8 @@
 
 #define UNANSWERED_MAX 4
 #define REPORT_SPACING_MS 5
+/* Slots are shared anew by the leader, which needs no faster reports. */
+#define DEMAND_SPACING_MS 100
 /* A Grant later than this leaves too little of the lease to be worth it. */
 #define UNANSWERED_MS 2000
 #define BUCKET_NAME_BYTES_MAX (2 * NAME_BYTES_MAX + 2)
@@ -122,6 +124,7 @@
 	uint64_t next_report_ms;
 	uint64_t next_cleanup_ms;
 	bool report_wanted;
+	bool demand_changed; /* wants a report too, but in batches */
 	bool whole_table_due; /* until a Grant of this term confirms it */
 	uint64_t whole_table_sequence; /* of the first report with it */
 
--- a/almondward/agent_slots.c
+++ b/almondward/agent_slots.c
@@ -130,7 +130,7 @@
 	settle(agent, slot);
 	/* The leader waits for this slot. */
 	if (lowers)
-		agent_report_soon(agent);
+		agent->demand_changed = true;
 }
 
 void agent_slot_count(struct agent *agent, const char *address, uint32_t *held,
@@ -172,6 +172,6 @@
 		HASH_ADD_STR(agent->demands, upstream, demand);
 	}
 	if (queued > demand->queued)
-		agent_report_soon(agent);
+		agent->demand_changed = true;
 	demand->queued = queued;
 }
--- a/almondward/route.c
+++ b/almondward/route.c
@@ -183,6 +183,12 @@
 	floor->use_ejected = now.ejected > now.members / 2;
 }
 
+struct summary {
+	bool waits; /* a server may be used later */
+	bool drained;
+	bool ejected;
+};
+
 static enum route_verdict judge_one(const struct route_candidate *candidate,
 				    const struct route_question *question,
 				    const struct floor *floor)
@@ -241,20 +247,18 @@
 	return cost(a, now_ms) > cost(b, now_ms) ? ROUTE_SLOWER : ROUTE_CHOSEN;
 }
 
-int route_choose(const struct route_candidate *candidates, size_t nr,
-		 const struct route_question *question,
-		 enum route_verdict *verdicts)
+static int choose(const struct route_candidate *candidates, size_t nr,
+		  const struct route_question *question,
+		  const struct floor *floor, struct summary *summary,
+		  enum route_verdict *verdicts)
 {
 	enum route_verdict verdict, against_best;
-	struct route_question whole;
-	struct floor floor;
-	bool waits = false, drained = false;
 	int best = -1;
 	size_t i;
 
-	find_floor(candidates, nr, question->now_ms, &floor);
+	memset(summary, 0, sizeof(*summary));
 	for (i = 0; i < nr; i++) {
-		verdict = judge_one(&candidates[i], question, &floor);
+		verdict = judge_one(&candidates[i], question, floor);
 		if (verdict == ROUTE_CHOSEN && best >= 0) {
 			against_best =
 				compare(&candidates[best], &candidates[i],
@@ -273,15 +277,37 @@
 			verdicts[i] = verdict;
 		if (verdict == ROUTE_CHOSEN)
 			best = (int)i;
-		waits |= verdict == ROUTE_NO_SLOT ||
-			 verdict == ROUTE_NO_LINK_TOKENS;
-		drained |= verdict == ROUTE_DRAINED;
+		summary->waits |= verdict == ROUTE_NO_SLOT ||
+				  verdict == ROUTE_NO_LINK_TOKENS;
+		summary->drained |= verdict == ROUTE_DRAINED;
+		summary->ejected |= verdict == ROUTE_EJECTED;
+	}
+	return best;
+}
+
+int route_choose(const struct route_candidate *candidates, size_t nr,
+		 const struct route_question *question,
+		 enum route_verdict *verdicts)
+{
+	struct route_question relaxed = *question;
+	struct summary summary;
+	struct floor floor;
+	int best;
+
+	find_floor(candidates, nr, question->now_ms, &floor);
+	best = choose(candidates, nr, &relaxed, &floor, &summary, verdicts);
+	if (best < 0 && !summary.waits && summary.drained) {
+		/* Nothing else serves the moved share: it is not moved yet. */
+		relaxed.draw_permille = ROUTE_DRAW_MAX;
+		best = choose(candidates, nr, &relaxed, &floor, &summary,
+			      verdicts);
+	}
+	if (summary.ejected && !summary.waits &&
+	    (best < 0 || candidates[best].tried)) {
+		/* An ejection is a judgement, a failure just now a fact. */
+		floor.use_ejected = true;
+		best = choose(candidates, nr, &relaxed, &floor, &summary,
+			      verdicts);
 	}
-	if (best >= 0 || waits || !drained ||
-	    question->draw_permille == ROUTE_DRAW_MAX)
-		return best;
-	/* Nothing else may serve the moved share, so it is not moved yet. */
-	whole = *question;
-	whole.draw_permille = ROUTE_DRAW_MAX;
-	return route_choose(candidates, nr, &whole, verdicts);
+	return best;
 }
--- a/almondward/route.h
+++ b/almondward/route.h
@@ -98,7 +98,8 @@
 /*
  * Chooses a server. Returns its position or -1; verdicts, if not NULL, has
  * room for nr. A partly drained server is used for the moved share too while
- * no other server may be used at all. A server that failed for this request is chosen only if there
+ * no other server may be used at all, an ejected one if the others failed for
+ * this request. A server that failed for this request is chosen only if there
  * is no other.
  */
 int route_choose(const struct route_candidate *candidates, size_t nr,
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -57,7 +57,7 @@
 	ASSERT_EQ(1u, a.report()->n_slots);
 	EXPECT_EQ(1u, a.report()->slots[0]->held);
 	agent_slot_release(a.agent, slot);
-	a.pass(10);
+	a.pass(100);
 	EXPECT_EQ(0u, a.report()->n_slots);
 }
 
@@ -273,6 +273,28 @@
 	EXPECT_EQ(0u, held);
 }
 
+// Seen under load with full queues: a report with each request that waited,
+// up to 200 a second, which the leader would get from every instance.
+TEST(Agent, DemandForSlotsIsReportedInBatches)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead();
+	parts.with_state = true;
+	a.grant(parts);
+	a.clear();
+	for (int i = 0; i < 100; i++) {
+		agent_set_queued(a.agent, "u", 1);
+		a.pass(10);
+		if (a.sent.size())
+			a.grant(AgentFake::GrantParts());
+		agent_set_queued(a.agent, "u", 0);
+	}
+	EXPECT_LE(a.sent.size(), 12u);
+	EXPECT_GE(a.sent.size(), 9u);
+}
+
 // An old announcement that arrives late must not bring a server back.
 TEST(Agent, LeaveIsFinalForItsIncarnation)
 {
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -305,6 +305,30 @@
 	EXPECT_GE(route_choose(list.data(), 4, &question, nullptr), 2);
 }
 
+// Seen with one of two servers ejected and the other dead: the retry went to
+// the dead one again although the ejected one worked.
+TEST(Choice, UsesAnEjectedServerRatherThanOneThatFailed)
+{
+	struct route_candidate list[2] = { candidate(ROUTE_SAME_ZONE),
+					   candidate(ROUTE_SAME_ZONE) };
+	struct route_question question = { 1000, false, true, 999 };
+	enum route_verdict verdicts[2];
+
+	list[1].stats.ejected_until_ms = 2000;
+	EXPECT_EQ(0, route_choose(list, 2, &question, verdicts));
+	EXPECT_EQ(ROUTE_EJECTED, verdicts[1]);
+	list[0].tried = true;
+	EXPECT_EQ(1, route_choose(list, 2, &question, verdicts));
+	EXPECT_EQ(ROUTE_TRIED, verdicts[0]);
+	EXPECT_EQ(ROUTE_CHOSEN, verdicts[1]);
+	// A full server is waited for; one that may not be used is not.
+	list[0].tried = false;
+	list[0].used_slots = 2;
+	EXPECT_EQ(-1, route_choose(list, 2, &question, verdicts));
+	list[0].drained_permille = 1000;
+	EXPECT_EQ(1, route_choose(list, 2, &question, verdicts));
+}
+
 TEST(Decision, ExplainsAndForgetsTheOldest)
 {
 	struct dec_ring *ring = dec_create(2);
