Answer a refused claim at once, ask for link tokens only while needed

A leader that refuses a claim, for example for a full disk, was asked again until the deadline of the request; the caller now gets claim_unavailable with the time to come back at once. Releases and results are still retried.

Requests that left the queue without being served kept the demand for link tokens alive, so that this instance took tokens that others could use. The waiting amount is now set anew each time the queues are served.

Peers and reports carry the same incarnation.

--- a/almondward/agent.h
+++ b/almondward/agent.h
@@ -232,11 +232,14 @@
 
 /*
  * Sends the operation until a leader has applied it; to be used only for
- * operations that can be applied twice. Returns the id of the call, or 0 when
- * memory is exhausted. done never runs within this call.
+ * operations that can be applied twice. With end_if_refused the call also ends
+ * without a result when the leader refuses it, for example for a full disk.
+ * Returns the id of the call, or 0 when memory is exhausted. done never runs
+ * within this call.
  */
 uint64_t agent_propose(struct agent *agent, const Aw__Op *op,
-		       uint64_t deadline_ms, agent_call_fn done, void *arg);
+		       uint64_t deadline_ms, bool end_if_refused,
+		       agent_call_fn done, void *arg);
 
 /*
  * Gives the call up: done does not run. Returns true if it was ever sent.
--- a/almondward/agent_calls.c
+++ b/almondward/agent_calls.c
@@ -49,7 +49,8 @@
 }
 
 uint64_t agent_propose(struct agent *agent, const Aw__Op *op,
-		       uint64_t deadline_ms, agent_call_fn done, void *arg)
+		       uint64_t deadline_ms, bool end_if_refused,
+		       agent_call_fn done, void *arg)
 {
 	struct call *call = calloc(1, sizeof(*call));
 
@@ -62,6 +63,7 @@
 	}
 	call->id = ++agent->next_call;
 	call->deadline_ms = deadline_ms;
+	call->end_if_refused = end_if_refused;
 	call->done = done;
 	call->arg = arg;
 	HASH_ADD(hh, agent->calls, id, sizeof(call->id), call);
@@ -117,7 +119,11 @@
 		finish(agent, call, reply->result);
 		return;
 	}
-	call->next_send_ms = clk_now_ms(agent->clk) + RETRY_MS;
+	if (reply->status == AW__PROPOSE_STATUS__PROPOSE_REFUSED &&
+	    call->end_if_refused)
+		finish(agent, call, NULL);
+	else
+		call->next_send_ms = clk_now_ms(agent->clk) + RETRY_MS;
 }
 
 void calls_leader_changed(struct agent *agent)
--- a/almondward/agent_internal.h
+++ b/almondward/agent_internal.h
@@ -98,6 +98,7 @@
 	uint64_t deadline_ms;
 	uint64_t next_send_ms;
 	bool sent;
+	bool end_if_refused;
 	agent_call_fn done;
 	void *arg;
 	UT_hash_handle hh;
--- a/almondward/entry.c
+++ b/almondward/entry.c
@@ -48,6 +48,7 @@
 	struct http_server *servers;
 	struct http_server *operators;
 	struct answers answers;
+	uint64_t incarnation; /* of this process start */
 	enum stage stage;
 	uint64_t leave_until_ms;
 	uint64_t quiet_since_ms; /* no request runs, 0: some do */
@@ -332,7 +333,8 @@
 	agent.clk = core.clk = entry->clk;
 	agent.counters = core.counters = pool.counters = entry->counters;
 	core.decisions = entry->decisions;
-	randombytes_buf(&agent.incarnation, sizeof(agent.incarnation));
+	randombytes_buf(&entry->incarnation, sizeof(entry->incarnation));
+	agent.incarnation = entry->incarnation;
 	entry->agent = agent_create(&agent, &agent_ops, entry);
 	if (!entry->agent)
 		return false;
@@ -397,6 +399,7 @@
 		.name = settings->name,
 		.role = AW__ROLE__ROLE_ENTRY,
 		.zone = settings->zone,
+		.incarnation = entry->incarnation,
 		.secret = settings->cluster_secret,
 		.secret_bytes = settings->cluster_secret_bytes,
 		.counters = entry->counters,
@@ -404,7 +407,6 @@
 	struct peer_ops ops = { link_up, link_down, link_frame, link_ping };
 	size_t i;
 
-	randombytes_buf(&peer.incarnation, sizeof(peer.incarnation));
 	if (peer_node_create(entry->loop, &peer, &ops, entry, &entry->peers))
 		return false;
 	for (i = 0; i < settings->nr_controls; i++) {
--- a/almondward/entry_claim.c
+++ b/almondward/entry_claim.c
@@ -49,7 +49,7 @@
 		/* It may be granted later, so it has to be released. */
 		request->claimed = sent;
 		finish_refusal(request, REFUSAL_CLAIM_UNAVAILABLE, 1000,
-			       "the claim was not committed in time");
+			       "the claim was not committed");
 	}
 	core_settle(core);
 }
@@ -72,8 +72,9 @@
 	request->wait_until_ms = request->claim_asked_ms + CLAIM_DISPATCH_MS;
 	if (request->wait_until_ms > request->deadline_ms)
 		request->wait_until_ms = request->deadline_ms;
-	request->claim_call = agent_propose(
-		core->agent, &op, request->wait_until_ms, claim_done, request);
+	request->claim_call =
+		agent_propose(core->agent, &op, request->wait_until_ms, true,
+			      claim_done, request);
 	if (!request->claim_call)
 		finish_refusal(request, REFUSAL_MEMORY, 1000,
 			       "no memory for the claim");
@@ -83,7 +84,7 @@
 {
 	uint64_t deadline_ms = core_now_ms(core) + CLAIM_LIFETIME_MS;
 
-	if (!agent_propose(core->agent, op, deadline_ms, NULL, NULL))
+	if (!agent_propose(core->agent, op, deadline_ms, false, NULL, NULL))
 		core_count(core, "claims_lost", "memory");
 }
 
--- a/almondward/entry_core.c
+++ b/almondward/entry_core.c
@@ -186,6 +186,8 @@
 {
 	struct upstream *upstream, *next;
 
+	/* Those that still wait ask again when their queue is served. */
+	link_stop_waiting(core);
 	HASH_ITER(hh, core->upstreams, upstream, next)
 	{
 		upstream->pump = true;
--- a/almondward/entry_internal.h
+++ b/almondward/entry_internal.h
@@ -151,6 +151,7 @@
 	struct budget budget;
 	size_t nr_active;
 	uint64_t next_pump_ms;
+	bool link_waiting; /* requests wait for link tokens */
 
 	struct route_candidate *candidates;
 	enum route_verdict *verdicts;
--- a/almondward/entry_link.c
+++ b/almondward/entry_link.c
@@ -129,6 +129,7 @@
 	if (!is_configured(request, region))
 		return;
 	names(request, region, out, in);
+	request->core->link_waiting = true;
 	agent_set_waiting(agent, BUCKET, out, request_bytes(request));
 	agent_set_waiting(agent, BUCKET, in,
 			  link_answer_bytes(request->core, request->route));
@@ -142,8 +143,9 @@
 	const Aw__Config *config;
 	size_t i;
 
-	if (!view)
+	if (!view || !core->link_waiting)
 		return;
+	core->link_waiting = false;
 	config = view_config(view);
 	for (i = 0; i < config->n_links; i++) {
 		const Aw__Link *link = config->links[i];
--- a/almondward/entry_queue.c
+++ b/almondward/entry_queue.c
@@ -189,7 +189,6 @@
 
 	if (!queue_length(upstream->queue))
 		return;
-	link_stop_waiting(core);
 	while (queue_length(upstream->queue) &&
 	       has_free_slot(core, upstream->name)) {
 		item = queue_serve(upstream->queue, try_item, core);
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -417,11 +417,11 @@
 
 	op.body_case = AW__OP__BODY_NOOP;
 	op.noop = &noop;
-	agent_propose(a.agent, &op, 1500, note_result, &first);
+	agent_propose(a.agent, &op, 1500, false, note_result, &first);
 	a.pass(500);
 	EXPECT_EQ(-2, first);
 	uint64_t call =
-		agent_propose(a.agent, &op, 60000, note_result, &second);
+		agent_propose(a.agent, &op, 60000, false, note_result, &second);
 	a.lead();
 	EXPECT_EQ(1u, a.count(AW__FRAME__BODY_PROPOSE));
 	a.reply(call, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER);
@@ -435,9 +435,18 @@
 	a.reply(call, AW__PROPOSE_STATUS__PROPOSE_APPLIED);
 	EXPECT_EQ((int)AW__OP_CODE__OP_DONE, second);
 	a.reply(call, AW__PROPOSE_STATUS__PROPOSE_APPLIED);
-	agent_propose(a.agent, &op, clk_now_ms(a.clk) + 50, note_result,
+	agent_propose(a.agent, &op, clk_now_ms(a.clk) + 50, false, note_result,
 		      &third);
 	a.pass(50);
 	EXPECT_EQ(-1, third);
+	// A refusal ends the calls that want to know, others go on.
+	int refused = 100, kept = 100;
+	call = agent_propose(a.agent, &op, 60000, true, note_result, &refused);
+	a.reply(call, AW__PROPOSE_STATUS__PROPOSE_REFUSED);
+	EXPECT_EQ(-1, refused);
+	call = agent_propose(a.agent, &op, 60000, false, note_result, &kept);
+	a.reply(call, AW__PROPOSE_STATUS__PROPOSE_REFUSED);
+	EXPECT_EQ(100, kept);
+	EXPECT_TRUE(agent_call_cancel(a.agent, call));
 	EXPECT_EQ(0u, agent_calls(a.agent));
 }
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -398,6 +398,21 @@
 	}
 }
 
+// With a full disk the caller is told at once, not at its deadline.
+TEST(Claim, RefusalByTheLeaderIsAnsweredAtOnce)
+{
+	CoreFake f;
+	uint64_t call = 0;
+
+	f.up();
+	Caller &caller = f.order();
+	ASSERT_NE(nullptr, f.op(AW__OP__BODY_CLAIM, &call));
+	f.a.reply(call, AW__PROPOSE_STATUS__PROPOSE_REFUSED);
+	EXPECT_EQ(REFUSAL_CLAIM_UNAVAILABLE, caller.refusal);
+	EXPECT_TRUE(caller.not_run);
+	EXPECT_EQ(1000u, caller.retry_after_ms);
+}
+
 TEST(Claim, FinishStoresSmallResponses)
 {
 	for (size_t size : { 8192, 8193 }) {
@@ -577,6 +592,10 @@
 		EXPECT_EQ(row ? REFUSAL_LINK_BUDGET : REFUSAL_QUEUE_TIMEOUT,
 			  caller.refusal);
 		EXPECT_TRUE(caller.not_run);
+		// Nobody waits any more, so no link tokens are asked for.
+		f.pass(1000);
+		for (size_t i = 0; i < f.a.report()->n_tokens; i++)
+			EXPECT_EQ(0u, f.a.report()->tokens[i]->wanted);
 	}
 }
 
