Tell crash reports apart by server process and time

Entry instances repeat their crash reports for 10 minutes and to a new leader, which took old losses for simultaneous ones and thus for a failure of the zone. A report now has an age, and each server process counts as lost once.

--- a/almondward/quarantine.c
+++ b/almondward/quarantine.c
@@ -7,13 +7,16 @@
 #include <uthash.h>
 #include <utlist.h>
 
-#define SUSPECTS_MAX 8 /* servers remembered for one request */
+#define SUSPECTS_MAX 8 /* server processes remembered for one request */
+#define LOSSES_MAX 1024
 
-/* A server that a request may have crashed. */
+/* A server process that a request may have crashed. */
 struct suspect {
 	char address[ADDRESS_BYTES_MAX];
 	char zone[NAME_BYTES_MAX];
+	uint64_t incarnation;
 	uint64_t at_ms;
+	bool cleared; /* lost in a failure of its zone */
 };
 
 struct request {
@@ -26,10 +29,11 @@
 	UT_hash_handle hh;
 };
 
-/* A server that was lost lately. */
+/* A server process that was lost. */
 struct loss {
 	char address[ADDRESS_BYTES_MAX];
 	char zone[NAME_BYTES_MAX];
+	uint64_t incarnation;
 	uint64_t at_ms;
 	struct loss *prev, *next;
 };
@@ -39,7 +43,8 @@
 	uint64_t version;
 	size_t count;
 	struct request *requests;
-	struct loss *losses; /* oldest first */
+	struct loss *losses; /* in the order of their reports */
+	size_t nr_losses;
 };
 
 struct quar *quar_create(struct clk *clk, uint64_t first_version)
@@ -56,6 +61,7 @@
 static void drop_loss(struct quar *quar, struct loss *loss)
 {
 	DL_DELETE(quar->losses, loss);
+	quar->nr_losses--;
 	free(loss);
 }
 
@@ -132,116 +138,168 @@
 	return request;
 }
 
-static enum quar_error note_loss(struct quar *quar, const char *address,
-				 const char *zone, uint64_t now_ms)
+/*
+ * A process can be lost only once, however often that is reported.
+ */
+static enum quar_error note_loss(struct quar *quar, const struct suspect *lost)
 {
-	struct loss *loss, *next;
+	struct loss *loss;
 
-	DL_FOREACH_SAFE(quar->losses, loss, next)
+	DL_FOREACH(quar->losses, loss)
 	{
-		if (loss->at_ms + QUAR_ZONE_MS < now_ms ||
-		    !strcmp(loss->address, address))
-			drop_loss(quar, loss);
+		if (loss->incarnation == lost->incarnation &&
+		    !strcmp(loss->address, lost->address))
+			return QUAR_OK;
 	}
+	if (quar->nr_losses == LOSSES_MAX)
+		drop_loss(quar, quar->losses);
 	loss = calloc(1, sizeof(*loss));
 	if (!loss)
 		return QUAR_ERR_MEMORY;
-	snprintf(loss->address, sizeof(loss->address), "%s", address);
-	snprintf(loss->zone, sizeof(loss->zone), "%s", zone);
-	loss->at_ms = now_ms;
+	memcpy(loss->address, lost->address, sizeof(loss->address));
+	memcpy(loss->zone, lost->zone, sizeof(loss->zone));
+	loss->incarnation = lost->incarnation;
+	loss->at_ms = lost->at_ms;
 	DL_APPEND(quar->losses, loss);
+	quar->nr_losses++;
 	return QUAR_OK;
 }
 
-static bool zone_failed(const struct quar *quar, const char *zone)
+static size_t losses_within(const struct quar *quar, const char *zone,
+			    uint64_t from_ms)
 {
-	const struct loss *loss;
+	const struct loss *loss, *same;
 	size_t nr = 0;
 
-	if (!*zone)
-		return false;
 	DL_FOREACH(quar->losses, loss)
-	if (!strcmp(loss->zone, zone))
-		nr++;
-	return nr >= QUAR_ZONE_SERVERS;
+	{
+		if (strcmp(loss->zone, zone) != 0 || loss->at_ms < from_ms ||
+		    loss->at_ms > from_ms + QUAR_ZONE_MS)
+			continue;
+		for (same = quar->losses; same != loss; same = same->next)
+			if (!strcmp(same->address, loss->address) &&
+			    same->at_ms >= from_ms &&
+			    same->at_ms <= from_ms + QUAR_ZONE_MS)
+				break;
+		nr += same == loss ? 1 : 0;
+	}
+	return nr;
 }
 
-static void judge(struct quar *quar, struct request *request, uint64_t now_ms)
+/*
+ * Finds the begin of a span around that time in which so many servers of the
+ * zone were lost that the zone must have failed.
+ */
+static bool zone_failed(const struct quar *quar, const char *zone,
+			uint64_t at_ms, uint64_t *from_ms)
 {
-	if (request->told >= QUARANTINE_SERVERS)
-		return;
-	if (request->nr_suspects < QUARANTINE_SERVERS)
-		set_until(quar, request, 0);
-	else if (!request->until_ms)
-		set_until(quar, request, now_ms + QUARANTINE_MS);
+	const struct loss *loss;
+
+	if (!*zone)
+		return false;
+	DL_FOREACH(quar->losses, loss)
+	{
+		if (loss->at_ms > at_ms || loss->at_ms + QUAR_ZONE_MS < at_ms ||
+		    strcmp(loss->zone, zone) != 0)
+			continue;
+		*from_ms = loss->at_ms;
+		if (losses_within(quar, zone, *from_ms) >= QUAR_ZONE_SERVERS)
+			return true;
+	}
+	return false;
 }
 
-static void clear_suspects(struct request *request, const char *zone,
-			   uint64_t since_ms)
+static uint32_t servers_suspected(const struct request *request)
 {
-	uint32_t i, kept = 0;
+	uint32_t i, j, nr = 0;
 
 	for (i = 0; i < request->nr_suspects; i++) {
-		const struct suspect *suspect = &request->suspects[i];
+		const struct suspect *at = &request->suspects[i];
 
-		if (!strcmp(suspect->zone, zone) && suspect->at_ms >= since_ms)
+		if (at->cleared)
 			continue;
-		request->suspects[kept++] = *suspect;
+		for (j = 0; j < i; j++)
+			if (!request->suspects[j].cleared &&
+			    !strcmp(request->suspects[j].address, at->address))
+				break;
+		nr += j == i ? 1 : 0;
 	}
-	request->nr_suspects = kept;
+	return nr;
+}
+
+static void judge(struct quar *quar, struct request *request, uint64_t now_ms)
+{
+	if (request->told >= QUARANTINE_SERVERS)
+		return;
+	if (servers_suspected(request) < QUARANTINE_SERVERS)
+		set_until(quar, request, 0);
+	else if (!request->until_ms)
+		set_until(quar, request, now_ms + QUARANTINE_MS);
 }
 
 /*
  * The losses of a failed zone say nothing about the requests that ran there.
  */
-static void clear_zone(struct quar *quar, const char *zone, uint64_t now_ms)
+static void clear_zone(struct quar *quar, const char *zone, uint64_t from_ms,
+		       uint64_t now_ms)
 {
-	uint64_t since_ms = now_ms > QUAR_ZONE_MS ? now_ms - QUAR_ZONE_MS : 0;
 	struct request *request;
+	uint32_t i;
 
 	for (request = quar->requests; request; request = request->hh.next) {
-		clear_suspects(request, zone, since_ms);
+		for (i = 0; i < request->nr_suspects; i++) {
+			struct suspect *at = &request->suspects[i];
+
+			if (!strcmp(at->zone, zone) && at->at_ms >= from_ms &&
+			    at->at_ms <= from_ms + QUAR_ZONE_MS)
+				at->cleared = true;
+		}
 		judge(quar, request, now_ms);
 	}
 }
 
-static void suspect(struct request *request, const char *address,
-		    const char *zone, uint64_t now_ms)
+static bool add_suspect(struct request *request, const struct suspect *lost)
 {
-	struct suspect *to;
 	uint32_t i;
 
-	request->last_ms = now_ms;
 	for (i = 0; i < request->nr_suspects; i++)
-		if (!strcmp(request->suspects[i].address, address))
-			return;
+		if (request->suspects[i].incarnation == lost->incarnation &&
+		    !strcmp(request->suspects[i].address, lost->address))
+			return false;
 	if (request->nr_suspects == SUSPECTS_MAX)
-		return;
-	to = &request->suspects[request->nr_suspects++];
-	snprintf(to->address, sizeof(to->address), "%s", address);
-	snprintf(to->zone, sizeof(to->zone), "%s", zone);
-	to->at_ms = now_ms;
+		return false;
+	request->suspects[request->nr_suspects++] = *lost;
+	return true;
 }
 
 enum quar_error quar_crash(struct quar *quar, const Aw__CrashReport *crash,
 			   const char *zone)
 {
-	uint64_t now_ms = clk_now_ms(quar->clk);
+	uint64_t now_ms = clk_now_ms(quar->clk), from_ms;
+	struct suspect lost = { 0 };
 	struct request *request;
 
 	if (crash->fingerprint.len != HASH_BYTES || !*crash->server_address ||
 	    strlen(crash->server_address) >= ADDRESS_BYTES_MAX)
 		return QUAR_ERR_INVALID;
-	if (note_loss(quar, crash->server_address, zone, now_ms))
-		return QUAR_ERR_MEMORY;
-	if (zone_failed(quar, zone)) {
-		clear_zone(quar, zone, now_ms);
+	if (crash->age_ms >= QUARANTINE_MS || crash->age_ms > now_ms)
 		return QUAR_OK;
-	}
+	snprintf(lost.address, sizeof(lost.address), "%s",
+		 crash->server_address);
+	snprintf(lost.zone, sizeof(lost.zone), "%s", zone);
+	lost.incarnation = crash->server_incarnation;
+	lost.at_ms = now_ms - crash->age_ms;
 	request = get_request(quar, &crash->fingerprint);
 	if (!request)
 		return QUAR_ERR_MEMORY;
-	suspect(request, crash->server_address, zone, now_ms);
+	if (!add_suspect(request, &lost))
+		return QUAR_OK;
+	if (lost.at_ms > request->last_ms)
+		request->last_ms = lost.at_ms;
+	if (note_loss(quar, &lost))
+		return QUAR_ERR_MEMORY;
+	if (zone_failed(quar, zone, lost.at_ms, &from_ms))
+		clear_zone(quar, zone, from_ms, now_ms);
 	judge(quar, request, now_ms);
 	return QUAR_OK;
 }
@@ -271,7 +329,13 @@
 {
 	uint64_t now_ms = clk_now_ms(quar->clk);
 	struct request *request, *next;
+	struct loss *loss, *next_loss;
 
+	DL_FOREACH_SAFE(quar->losses, loss, next_loss)
+	{
+		if (loss->at_ms + QUARANTINE_MS <= now_ms)
+			drop_loss(quar, loss);
+	}
 	HASH_ITER(hh, quar->requests, request, next)
 	{
 		if (request->until_ms ?
@@ -305,10 +369,9 @@
 		list[nr].fingerprint.data = request->fingerprint;
 		list[nr].fingerprint.len = HASH_BYTES;
 		list[nr].expires_in_ms = (uint32_t)(request->until_ms - now_ms);
-		list[nr].servers_crashed =
-			request->nr_suspects > request->told ?
-				request->nr_suspects :
-				request->told;
+		list[nr].servers_crashed = servers_suspected(request);
+		if (list[nr].servers_crashed < request->told)
+			list[nr].servers_crashed = request->told;
 		nr++;
 	}
 	return nr;
--- a/almondward/quarantine.h
+++ b/almondward/quarantine.h
@@ -34,8 +34,8 @@
 void quar_destroy(struct quar *quar);
 
 /*
- * A connection broke after the request was sent. zone is "" when the server is
- * not known.
+ * A connection broke after the request was sent. Repeating a report changes
+ * nothing. zone is "" when the server is not known.
  */
 enum quar_error quar_crash(struct quar *quar, const Aw__CrashReport *crash,
 			   const char *zone);
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -211,7 +211,8 @@
 		quar_destroy(quar);
 		clk_destroy(clk);
 	}
-	void crash(uint8_t request, const char *address, const char *zone)
+	void crash(uint8_t request, const char *address, const char *zone,
+		   uint32_t age_ms = 0)
 	{
 		std::string text = address;
 		uint8_t fingerprint[HASH_BYTES];
@@ -222,6 +223,8 @@
 		msg.fingerprint.data = fingerprint;
 		msg.fingerprint.len = sizeof(fingerprint);
 		msg.server_address = &text[0];
+		msg.server_incarnation = 1;
+		msg.age_ms = age_ms;
 		ASSERT_EQ(QUAR_OK, quar_crash(quar, &msg, zone));
 	}
 };
@@ -267,6 +270,21 @@
 	EXPECT_EQ(1u, quar_count(quar));
 }
 
+// Entry instances repeat their crash reports for QUARANTINE_MS; old losses
+// must not add up to a zone failure, nor a cleared one count later.
+TEST_F(QuarCase, RepeatedReportsChangeNothing)
+{
+	for (int round = 0; round < 3; round++) {
+		crash(1, "s1", "z1", 30000);
+		crash(1, "s2", "z1", 20000);
+		crash(2, "s3", "z1", 10000);
+		EXPECT_EQ(1u, quar_count(quar));
+		for (const char *address : { "s4", "s5", "s6" })
+			crash(3, address, "z2", 1000);
+		EXPECT_EQ(1u, quar_count(quar));
+	}
+}
+
 TEST_F(QuarCase, NewLeaderIsToldWhatIsHeld)
 {
 	uint8_t fingerprint[HASH_BYTES] = { 9 };
