Add the control role

One process ties store, raft, fleet, peers and the operators' interface to the leader's soft state (tokens, slots, registry, quarantine, drains), which is made anew for each term. A lease that lapses and returns within a term keeps it: no later leader can have been active in between.

The time between steps counts from the commit of the last one.

--- /dev/null
+++ b/almondward/control.c
@@ -0,0 +1,555 @@
+#include "control_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+#include <utlist.h>
+
+#include "log.h"
+
+#define TICK_MS 10
+#define SNAPSHOT_ENTRIES 20000
+#define STOP_CALLS_MS 1000 /* running proposals get so long to end */
+#define STOP_LEADER_MS 3000 /* the handover of leadership likewise */
+#define STOP_LINGER_MS 100 /* for messages that are on their way out */
+#define STEPS_MAX 64
+
+#define OPERATOR_BODY_BYTES_MAX ((size_t)8 * 1024 * 1024)
+#define OPERATOR_CONNECTIONS_MAX 256
+#define OPERATOR_IDLE_MS 60000
+#define OPERATOR_HEAD_MS 15000
+#define OPERATOR_BODY_MS 15000
+
+void ctl_count(struct ctl *ctl, const char *name, const char *label)
+{
+	ctr_add(ctr_get(ctl->counters, name, label), 1);
+}
+
+void ctl_fail(struct ctl *ctl, const char *cause)
+{
+	if (ctl->failed)
+		return;
+	log_error("control", "%s; the process ends", cause);
+	ctl->failed = true;
+	loop_stop(ctl->loop);
+}
+
+void ctl_raft_error(struct ctl *ctl, enum raft_error err)
+{
+	switch (err) {
+	case RAFT_OK:
+	case RAFT_ERR_NOT_LEADER:
+		return;
+	case RAFT_ERR_FAILED:
+		ctl_fail(ctl, "the store in the data directory failed");
+		return;
+	case RAFT_ERR_MEMORY:
+		ctl_count(ctl, "raft_errors", "memory");
+		return;
+	case RAFT_ERR_STORE:
+		ctl_count(ctl, "raft_errors", "store");
+		return;
+	case RAFT_ERR_MESSAGE:
+		ctl_count(ctl, "raft_errors", "message");
+		return;
+	}
+}
+
+void ctl_flush_soon(struct ctl *ctl)
+{
+	loop_timer_set(ctl->flush_timer, 0);
+}
+
+static void flush(void *arg)
+{
+	struct ctl *ctl = arg;
+
+	if (!ctl->failed)
+		ctl_raft_error(ctl, raft_flush(ctl->raft));
+}
+
+/* ---- leadership ---- */
+
+static void end_leadership(struct ctl *ctl)
+{
+	ctl->lost = false;
+	if (ctl->soft) {
+		log_info("control", "leadership of term %llu ended",
+			 (unsigned long long)ctl->soft_term);
+		ctl->next_version = soft_table_version(ctl->soft) + 1;
+		soft_destroy(ctl->soft);
+		ctl->soft = NULL;
+	}
+	ctl_calls_unknown(ctl);
+}
+
+static void begin_leadership(struct ctl *ctl)
+{
+	uint64_t term = raft_term(ctl->raft);
+
+	ctl->soft =
+		soft_create(ctl->clk, term, ctl->next_version, ctl->counters);
+	if (!ctl->soft) {
+		ctl_fail(ctl, "no memory for the state of a leader");
+		return;
+	}
+	ctl->soft_term = term;
+	ctl->steps_pending = 0;
+	ctl->steps_ms = clk_now_ms(ctl->clk);
+	ctl_count(ctl, "leaderships", "");
+	log_info("control", "leads since term %llu", (unsigned long long)term);
+}
+
+/*
+ * A lease that lapses and comes back within a term keeps the soft state: a
+ * leader of a later term would have kept it from coming back.
+ */
+bool ctl_leads(struct ctl *ctl)
+{
+	if (ctl->failed)
+		return false;
+	if (ctl->lost || (ctl->soft && ctl->soft_term != raft_term(ctl->raft)))
+		end_leadership(ctl);
+	if (!raft_is_leader(ctl->raft))
+		return false;
+	if (!ctl->soft)
+		begin_leadership(ctl);
+	return ctl->soft != NULL;
+}
+
+static int refresh_state(struct ctl *ctl)
+{
+	uint64_t version = fleet_state_version(ctl->fleet);
+	struct buf packed = BUF_INIT;
+	Aw__FleetState *state = NULL;
+
+	if (ctl->state && ctl->state_version == version)
+		return 0;
+	if (!fleet_pack_for_entry(ctl->fleet, &packed))
+		state = aw__fleet_state__unpack(NULL, packed.len_bytes,
+						packed.data);
+	buf_release(&packed);
+	if (!state)
+		return -1;
+	if (ctl->state)
+		aw__fleet_state__free_unpacked(ctl->state, NULL);
+	ctl->state = state;
+	ctl->state_version = version;
+	return 0;
+}
+
+int ctl_view(struct ctl *ctl, struct soft_view *view)
+{
+	memset(view, 0, sizeof(*view));
+	if (refresh_state(ctl))
+		return -1;
+	view->config = fleet_config(ctl->fleet);
+	view->drains = fleet_drains(ctl->fleet, &view->nr_drains);
+	view->state_version = ctl->state_version;
+	view->state = ctl->state;
+	return 0;
+}
+
+/* ---- drains ---- */
+
+static void step_done(void *arg, Aw__ProposeStatus status,
+		      const Aw__OpResult *result)
+{
+	struct ctl *ctl = arg;
+
+	if (ctl->steps_pending)
+		ctl->steps_pending--;
+	ctl->steps_ms = clk_now_ms(ctl->clk);
+	if (status == AW__PROPOSE_STATUS__PROPOSE_APPLIED &&
+	    result->code == AW__OP_CODE__OP_DONE)
+		ctl_count(ctl, "drain_steps", "");
+	else
+		ctl_count(ctl, "drain_steps_failed", "");
+}
+
+static void propose_step(struct ctl *ctl, const struct soft_step *step)
+{
+	Aw__OpDrainStep body = AW__OP_DRAIN_STEP__INIT;
+	Aw__Op op = AW__OP__INIT;
+
+	body.name = (char *)step->name;
+	body.share_permille = step->share_permille;
+	op.body_case = AW__OP__BODY_DRAIN_STEP;
+	op.drain_step = &body;
+	ctl->steps_pending++;
+	if (ctl_propose(ctl, &op, 0, step_done, ctl) !=
+	    AW__PROPOSE_STATUS__PROPOSE_APPLIED)
+		ctl->steps_pending--;
+}
+
+/*
+ * The time between rounds counts from the commit of the steps, so that a slow
+ * commit does not bring two steps close together.
+ */
+static void run_drains(struct ctl *ctl)
+{
+	struct soft_step steps[STEPS_MAX];
+	struct soft_view view;
+	size_t nr, i;
+
+	if (ctl->steps_pending ||
+	    clk_now_ms(ctl->clk) < ctl->steps_ms + DRAIN_STEP_MS)
+		return;
+	ctl->steps_ms = clk_now_ms(ctl->clk);
+	if (ctl_view(ctl, &view) ||
+	    soft_steps(ctl->soft, &view, steps, STEPS_MAX, &nr)) {
+		ctl_fail(ctl, "no memory for the state of a leader");
+		return;
+	}
+	for (i = 0; i < nr; i++)
+		propose_step(ctl, &steps[i]);
+}
+
+/* ---- peers ---- */
+
+static void link_up(void *arg, struct peer_link *link)
+{
+	struct ctl_link *at = calloc(1, sizeof(*at));
+	struct ctl *ctl = arg;
+
+	if (!at) {
+		ctl_fail(ctl, "no memory for a connection");
+		return;
+	}
+	at->link = link;
+	/* The newest connection of a name is the one that is used. */
+	DL_PREPEND(ctl->links, at);
+}
+
+static void link_down(void *arg, struct peer_link *link)
+{
+	struct ctl *ctl = arg;
+	struct ctl_link *at, *next;
+
+	ctl_propose_link_down(ctl, link);
+	DL_FOREACH_SAFE(ctl->links, at, next)
+	{
+		if (at->link != link)
+			continue;
+		DL_DELETE(ctl->links, at);
+		free(at);
+	}
+}
+
+static void on_raft(struct ctl *ctl, struct peer_link *link,
+		    const Aw__RaftMessage *msg)
+{
+	if (peer_link_role(link) != AW__ROLE__ROLE_CONTROL) {
+		ctl_count(ctl, "frames_refused", "raft");
+		return;
+	}
+	ctl_raft_error(ctl, raft_receive(ctl->raft, peer_link_name(link), msg));
+	ctl_flush_soon(ctl);
+}
+
+static bool report_allowed(struct ctl *ctl, struct peer_link *link,
+			   const Aw__Report *report)
+{
+	if (peer_link_role(link) == AW__ROLE__ROLE_ENTRY && report->instance &&
+	    !strcmp(report->instance->name, peer_link_name(link)) &&
+	    report->instance_incarnation == peer_link_incarnation(link))
+		return true;
+	ctl_count(ctl, "reports_ignored", "not_allowed");
+	return false;
+}
+
+static void on_report(struct ctl *ctl, struct peer_link *link,
+		      const Aw__Report *report)
+{
+	Aw__Frame frame = AW__FRAME__INIT;
+	const Aw__Grant *grant;
+	struct soft_view view;
+
+	if (!report_allowed(ctl, link, report))
+		return;
+	if (!ctl_leads(ctl)) {
+		ctl_count(ctl, "reports_ignored", "not_leader");
+		return;
+	}
+	if (ctl_view(ctl, &view) ||
+	    soft_report(ctl->soft, &view, report, &grant)) {
+		ctl_fail(ctl, "no memory for the state of a leader");
+		return;
+	}
+	if (!grant)
+		return;
+	/* The lease may have ended meanwhile. */
+	if (!raft_is_leader(ctl->raft)) {
+		ctl_count(ctl, "reports_ignored", "not_leader");
+		return;
+	}
+	frame.body_case = AW__FRAME__BODY_GRANT;
+	frame.grant = (Aw__Grant *)grant;
+	if (peer_send(link, &frame))
+		ctl_count(ctl, "send_failed", "grant");
+}
+
+static void on_frame(void *arg, struct peer_link *link, const Aw__Frame *frame)
+{
+	struct ctl *ctl = arg;
+
+	if (ctl->failed)
+		return;
+	switch (frame->body_case) {
+	case AW__FRAME__BODY_RAFT:
+		on_raft(ctl, link, frame->raft);
+		break;
+	case AW__FRAME__BODY_REPORT:
+		on_report(ctl, link, frame->report);
+		break;
+	case AW__FRAME__BODY_PROPOSE:
+		ctl_on_propose(ctl, link, frame->propose);
+		break;
+	default:
+		ctl_count(ctl, "frames_refused", "unexpected");
+		break;
+	}
+}
+
+static const struct peer_ops peer_ops = {
+	.up = link_up,
+	.down = link_down,
+	.frame = on_frame,
+};
+
+/* ---- time ---- */
+
+/*
+ * Proposals under way get some time, then leadership is handed over.
+ */
+static void run_stop(struct ctl *ctl, bool leads)
+{
+	uint64_t now_ms = clk_now_ms(ctl->clk);
+
+	if (leads && !ctl->stepped_down) {
+		if (ctl->calls && now_ms < ctl->stop_ms + STOP_CALLS_MS)
+			return;
+		log_info("control", "hands leadership over");
+		raft_step_down(ctl->raft);
+		ctl->stepped_down = true;
+		ctl_flush_soon(ctl);
+		return;
+	}
+	if (leads && now_ms < ctl->stop_ms + STOP_LEADER_MS)
+		return;
+	if (!ctl->linger_ms) {
+		if (leads)
+			log_warn("control", "stops without a successor");
+		ctl_calls_unknown(ctl);
+		ctl->linger_ms = now_ms + STOP_LINGER_MS;
+	}
+	if (now_ms >= ctl->linger_ms)
+		loop_stop(ctl->loop);
+}
+
+static void set_gauges(struct ctl *ctl, bool leads)
+{
+	ctr_set_value(ctr_get(ctl->counters, "leads", ""), leads ? 1 : 0);
+	ctr_set_value(ctr_get(ctl->counters, "commit_index", ""),
+		      raft_commit_index(ctl->raft));
+	ctr_set_value(ctr_get(ctl->counters, "claims", ""),
+		      fleet_claims(ctl->fleet));
+}
+
+static void tick(void *arg)
+{
+	struct ctl *ctl = arg;
+	bool leads;
+
+	if (ctl->failed)
+		return;
+	loop_timer_set(ctl->tick_timer, TICK_MS);
+	ctl_raft_error(ctl, raft_tick(ctl->raft));
+	ctl_flush_soon(ctl);
+	leads = ctl_leads(ctl);
+	peer_node_set_leader(ctl->peers, raft_leader(ctl->raft),
+			     raft_term(ctl->raft));
+	ctl_calls_expire(ctl);
+	set_gauges(ctl, leads);
+	if (ctl->stop_ms)
+		run_stop(ctl, leads);
+	else if (leads)
+		run_drains(ctl);
+}
+
+static void on_stop(void *arg)
+{
+	struct ctl *ctl = arg;
+
+	if (ctl->stop_ms)
+		return;
+	log_info("control", "stops");
+	ctl->stop_ms = clk_now_ms(ctl->clk);
+	http_server_drain(ctl->http, true);
+}
+
+/* ---- start ---- */
+
+static int open_state(struct ctl *ctl)
+{
+	const char *names[SET_CONTROLS_MAX];
+	struct raft_settings raft = { 0 };
+	char text[512];
+	size_t i;
+
+	if (store_open(ctl->settings->data_dir, NULL, &ctl->store, text,
+		       sizeof(text))) {
+		log_error("control", "%s", text);
+		return -1;
+	}
+	ctl->fleet = fleet_create();
+	if (!ctl->fleet)
+		return -1;
+	for (i = 0; i < ctl->settings->nr_controls; i++)
+		names[i] = ctl->settings->controls[i].name;
+	raft.name = ctl->settings->name;
+	raft.controls = names;
+	raft.nr_controls = ctl->settings->nr_controls;
+	raft.clk = ctl->clk;
+	raft.store = ctl->store;
+	randombytes_buf(&raft.seed, sizeof(raft.seed));
+	raft.snapshot_entries = SNAPSHOT_ENTRIES;
+	ctl->raft = raft_create(&raft, &ctl_raft_ops, ctl);
+	return ctl->raft ? 0 : -1;
+}
+
+static int open_peers(struct ctl *ctl)
+{
+	const struct set_settings *from = ctl->settings;
+	struct peer_settings peer = { 0 };
+	size_t i;
+
+	peer.name = from->name;
+	peer.role = AW__ROLE__ROLE_CONTROL;
+	peer.zone = from->zone;
+	peer.incarnation = store_incarnation(ctl->store);
+	peer.secret = from->cluster_secret;
+	peer.secret_bytes = from->cluster_secret_bytes;
+	peer.listen_address = from->listen_peers;
+	peer.counters = ctl->counters;
+	if (peer_node_create(ctl->loop, &peer, &peer_ops, ctl, &ctl->peers)) {
+		log_error("control", "cannot listen on %s", from->listen_peers);
+		return -1;
+	}
+	for (i = 0; i < from->nr_controls; i++)
+		if (strcmp(from->controls[i].name, from->name) != 0 &&
+		    peer_node_add(ctl->peers, from->controls[i].name,
+				  from->controls[i].address)) {
+			log_error("control", "cannot connect to %s",
+				  from->controls[i].address);
+			return -1;
+		}
+	return 0;
+}
+
+static int open_http(struct ctl *ctl)
+{
+	struct http_server_settings http = {
+		.address = ctl->settings->listen_operators,
+		.body_max_bytes = OPERATOR_BODY_BYTES_MAX,
+		.body_memory_bytes = 4 * OPERATOR_BODY_BYTES_MAX,
+		.connections_max = OPERATOR_CONNECTIONS_MAX,
+		.idle_timeout_ms = OPERATOR_IDLE_MS,
+		.head_timeout_ms = OPERATOR_HEAD_MS,
+		.body_timeout_ms = OPERATOR_BODY_MS,
+		.counters = ctl->counters,
+	};
+
+	if (!http_server_create(ctl->loop, &http, ctl_on_request, ctl,
+				&ctl->http))
+		return 0;
+	log_error("control", "cannot listen on %s", http.address);
+	return -1;
+}
+
+static int open_all(struct ctl *ctl)
+{
+	if (sodium_init() < 0)
+		return -1;
+	ctl->clk = clk_create_system();
+	ctl->counters = ctr_set_create();
+	if (!ctl->clk || !ctl->counters)
+		return -1;
+	ctl->loop = loop_create(ctl->clk);
+	if (!ctl->loop)
+		return -1;
+	ctl->tick_timer = loop_timer_create(ctl->loop, tick, ctl);
+	ctl->flush_timer = loop_timer_create(ctl->loop, flush, ctl);
+	if (!ctl->tick_timer || !ctl->flush_timer || open_state(ctl) ||
+	    open_peers(ctl) || open_http(ctl))
+		return -1;
+	return loop_on_stop_signal(ctl->loop, on_stop, ctl) ? -1 : 0;
+}
+
+static void drop_calls(struct ctl *ctl)
+{
+	struct ctl_peer_call *peer_call;
+	struct ctl_call *call;
+
+	while ((call = ctl->calls)) {
+		HASH_DEL(ctl->calls, call);
+		free(call);
+	}
+	while ((peer_call = ctl->peer_calls)) {
+		DL_DELETE(ctl->peer_calls, peer_call);
+		free(peer_call);
+	}
+	ctl_http_drop(ctl);
+}
+
+static void close_all(struct ctl *ctl)
+{
+	struct ctl_link *at;
+
+	/* Nobody is answered any more: the outcomes are not known. */
+	drop_calls(ctl);
+	if (ctl->http)
+		http_server_destroy(ctl->http);
+	if (ctl->peers)
+		peer_node_destroy(ctl->peers);
+	while ((at = ctl->links)) {
+		DL_DELETE(ctl->links, at);
+		free(at);
+	}
+	soft_destroy(ctl->soft);
+	if (ctl->raft)
+		raft_destroy(ctl->raft);
+	if (ctl->fleet)
+		fleet_destroy(ctl->fleet);
+	if (ctl->store)
+		store_close(ctl->store);
+	if (ctl->state)
+		aw__fleet_state__free_unpacked(ctl->state, NULL);
+	if (ctl->tick_timer)
+		loop_timer_destroy(ctl->tick_timer);
+	if (ctl->flush_timer)
+		loop_timer_destroy(ctl->flush_timer);
+	if (ctl->loop)
+		loop_destroy(ctl->loop);
+	ctr_set_destroy(ctl->counters);
+	clk_destroy(ctl->clk);
+}
+
+int ctl_run(const struct set_settings *settings)
+{
+	struct ctl ctl = { .settings = settings };
+	int status = 1;
+
+	log_set_level(settings->log_level);
+	if (!open_all(&ctl) && !ctl.failed) {
+		log_info("control", "%s: peers on %s, operators on %s",
+			 settings->name, peer_node_address(ctl.peers),
+			 http_server_address(ctl.http));
+		loop_timer_set(ctl.tick_timer, 0);
+		loop_run(ctl.loop);
+		status = ctl.failed ? 1 : 0;
+	}
+	close_all(&ctl);
+	return status;
+}
--- /dev/null
+++ b/almondward/control_propose.c
@@ -0,0 +1,227 @@
+#include "control_internal.h"
+
+#include <stdlib.h>
+
+#include <utlist.h>
+
+#define CALLS_MAX 8192 /* waiting proposals */
+
+static Aw__ProposeStatus refuse(struct ctl *ctl, Aw__ProposeStatus status,
+				const char *reason)
+{
+	ctl_count(ctl, "proposals_refused", reason);
+	return status;
+}
+
+static Aw__ProposeStatus append(struct ctl *ctl, const Aw__Op *op,
+				uint64_t *index, uint64_t *term)
+{
+	size_t len_bytes = aw__op__get_packed_size(op);
+	uint8_t *packed = malloc(len_bytes + 1);
+	enum raft_error err;
+
+	if (!packed)
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_REFUSED,
+			      "memory");
+	aw__op__pack(op, packed);
+	err = raft_propose(ctl->raft, packed, len_bytes, index, term);
+	free(packed);
+	switch (err) {
+	case RAFT_OK:
+		return AW__PROPOSE_STATUS__PROPOSE_APPLIED;
+	case RAFT_ERR_NOT_LEADER:
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER,
+			      "not_leader");
+	case RAFT_ERR_STORE:
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_REFUSED,
+			      "store");
+	case RAFT_ERR_FAILED:
+		ctl_raft_error(ctl, err);
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_UNKNOWN,
+			      "store_failed");
+	default:
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_REFUSED,
+			      "memory");
+	}
+}
+
+Aw__ProposeStatus ctl_propose(struct ctl *ctl, Aw__Op *op, uint64_t limit_ms,
+			      ctl_done_fn done, void *arg)
+{
+	Aw__ProposeStatus status;
+	struct ctl_call *call;
+
+	if (!ctl_leads(ctl))
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER,
+			      "not_leader");
+	if (ctl->stop_ms)
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER,
+			      "stopping");
+	if (HASH_COUNT(ctl->calls) >= CALLS_MAX)
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_REFUSED,
+			      "overload");
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_REFUSED,
+			      "memory");
+	op->time_ms = clk_wall_ms(ctl->clk);
+	status = append(ctl, op, &call->index, &call->term);
+	if (status != AW__PROPOSE_STATUS__PROPOSE_APPLIED) {
+		free(call);
+		return status;
+	}
+	call->since_ms = clk_now_ms(ctl->clk);
+	call->limit_ms = limit_ms;
+	call->done = done;
+	call->arg = arg;
+	HASH_ADD(hh, ctl->calls, index, sizeof(call->index), call);
+	ctl_count(ctl, "proposals", "");
+	ctl_flush_soon(ctl);
+	return status;
+}
+
+/*
+ * The call is out of the table before done runs, so that done can propose.
+ */
+static void finish(struct ctl *ctl, struct ctl_call *call,
+		   Aw__ProposeStatus status, const Aw__OpResult *result)
+{
+	struct ctl_call ended = *call;
+
+	HASH_DEL(ctl->calls, call);
+	free(call);
+	ended.done(ended.arg, status, result);
+}
+
+void ctl_applied(struct ctl *ctl, uint64_t index, uint64_t term,
+		 const Aw__OpResult *result)
+{
+	struct ctl_call *call;
+
+	HASH_FIND(hh, ctl->calls, &index, sizeof(index), call);
+	if (!call)
+		return;
+	/* An entry of another term took the place: the proposal was lost. */
+	if (call->term != term || !result)
+		finish(ctl, call, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER, NULL);
+	else
+		finish(ctl, call, AW__PROPOSE_STATUS__PROPOSE_APPLIED, result);
+}
+
+void ctl_calls_unknown(struct ctl *ctl)
+{
+	struct ctl_call *call;
+
+	while ((call = ctl->calls)) {
+		ctl_count(ctl, "proposals_unknown", "leadership_lost");
+		finish(ctl, call, AW__PROPOSE_STATUS__PROPOSE_UNKNOWN, NULL);
+	}
+}
+
+static struct ctl_call *find_expired(struct ctl *ctl)
+{
+	uint64_t now_ms = clk_now_ms(ctl->clk);
+	struct ctl_call *call;
+
+	for (call = ctl->calls; call; call = call->hh.next)
+		if (call->limit_ms && call->since_ms + call->limit_ms <= now_ms)
+			return call;
+	return NULL;
+}
+
+void ctl_calls_expire(struct ctl *ctl)
+{
+	struct ctl_call *call;
+
+	while ((call = find_expired(ctl))) {
+		ctl_count(ctl, "proposals_unknown", "time_limit");
+		finish(ctl, call, AW__PROPOSE_STATUS__PROPOSE_UNKNOWN, NULL);
+	}
+}
+
+/* ---- proposals of entry instances ---- */
+
+static void reply(struct ctl *ctl, struct peer_link *link, uint64_t call,
+		  Aw__ProposeStatus status, const Aw__OpResult *result)
+{
+	Aw__ProposeReply msg = AW__PROPOSE_REPLY__INIT;
+	Aw__Frame frame = AW__FRAME__INIT;
+
+	msg.call = call;
+	msg.status = status;
+	msg.result = (Aw__OpResult *)result;
+	msg.leader = (char *)raft_leader(ctl->raft);
+	frame.body_case = AW__FRAME__BODY_PROPOSE_REPLY;
+	frame.propose_reply = &msg;
+	if (peer_send(link, &frame))
+		ctl_count(ctl, "send_failed", "propose_reply");
+}
+
+static void peer_call_done(void *arg, Aw__ProposeStatus status,
+			   const Aw__OpResult *result)
+{
+	struct ctl_peer_call *call = arg;
+
+	DL_DELETE(call->ctl->peer_calls, call);
+	if (call->link)
+		reply(call->ctl, call->link, call->call, status, result);
+	free(call);
+}
+
+/*
+ * Entry instances propose only what concerns claims; all else is for operators.
+ */
+static bool is_claim(const Aw__Op *op)
+{
+	switch (op->body_case) {
+	case AW__OP__BODY_CLAIM:
+	case AW__OP__BODY_CLAIM_FINISH:
+	case AW__OP__BODY_CLAIM_RELEASE:
+		return true;
+	default:
+		return false;
+	}
+}
+
+void ctl_on_propose(struct ctl *ctl, struct peer_link *link,
+		    const Aw__Propose *propose)
+{
+	struct ctl_peer_call *call;
+	Aw__ProposeStatus status;
+	Aw__Op op;
+
+	if (!propose->op || !is_claim(propose->op) ||
+	    peer_link_role(link) != AW__ROLE__ROLE_ENTRY) {
+		ctl_count(ctl, "proposals_refused", "not_allowed");
+		reply(ctl, link, propose->call,
+		      AW__PROPOSE_STATUS__PROPOSE_REFUSED, NULL);
+		return;
+	}
+	call = calloc(1, sizeof(*call));
+	if (!call) {
+		reply(ctl, link, propose->call,
+		      AW__PROPOSE_STATUS__PROPOSE_REFUSED, NULL);
+		return;
+	}
+	call->ctl = ctl;
+	call->link = link;
+	call->call = propose->call;
+	DL_APPEND(ctl->peer_calls, call);
+	op = *propose->op;
+	op.operator_request_id = (char *)protobuf_c_empty_string;
+	op.expected_version = 0;
+	status = ctl_propose(ctl, &op, 0, peer_call_done, call);
+	if (status != AW__PROPOSE_STATUS__PROPOSE_APPLIED)
+		peer_call_done(call, status, NULL);
+}
+
+void ctl_propose_link_down(struct ctl *ctl, const struct peer_link *link)
+{
+	struct ctl_peer_call *call;
+
+	DL_FOREACH(ctl->peer_calls, call)
+	{
+		if (call->link == link)
+			call->link = NULL;
+	}
+}
--- /dev/null
+++ b/almondward/control_raft.c
@@ -0,0 +1,114 @@
+#include "control_internal.h"
+
+#include <string.h>
+
+#include <utlist.h>
+
+#include "log.h"
+
+static struct peer_link *find_control(struct ctl *ctl, const char *name)
+{
+	struct ctl_link *at;
+
+	DL_FOREACH(ctl->links, at)
+	{
+		if (peer_link_role(at->link) == AW__ROLE__ROLE_CONTROL &&
+		    !strcmp(peer_link_name(at->link), name))
+			return at->link;
+	}
+	return NULL;
+}
+
+static void send_raft(void *arg, const char *to, const Aw__RaftMessage *msg)
+{
+	struct ctl *ctl = arg;
+	struct peer_link *link = find_control(ctl, to);
+	Aw__Frame frame = AW__FRAME__INIT;
+
+	if (!link)
+		return;
+	frame.body_case = AW__FRAME__BODY_RAFT;
+	frame.raft = (Aw__RaftMessage *)msg;
+	if (peer_send(link, &frame))
+		ctl_count(ctl, "send_failed", "raft");
+}
+
+static void apply_op(struct ctl *ctl, const Aw__LogEntry *entry)
+{
+	Aw__OpResult *result = NULL;
+	enum fleet_error err;
+	Aw__Op *op;
+
+	op = aw__op__unpack(NULL, entry->op.len, entry->op.data);
+	if (!op) {
+		ctl_fail(ctl, "a committed entry cannot be read");
+		return;
+	}
+	err = fleet_apply(ctl->fleet, entry->index, op, &result);
+	aw__op__free_unpacked(op, NULL);
+	if (err) {
+		ctl_fail(ctl, err == FLEET_ERR_MEMORY ?
+				      "no memory for a committed entry" :
+				      "a committed entry is out of order");
+		return;
+	}
+	ctl_applied(ctl, entry->index, entry->term, result);
+	aw__op_result__free_unpacked(result, NULL);
+}
+
+static void apply(void *arg, const Aw__LogEntry *entry)
+{
+	struct ctl *ctl = arg;
+
+	if (ctl->failed)
+		return;
+	if (entry->kind == AW__ENTRY_KIND__ENTRY_OP && entry->op.len) {
+		apply_op(ctl, entry);
+		return;
+	}
+	fleet_skip(ctl->fleet, entry->index);
+	ctl_applied(ctl, entry->index, entry->term, NULL);
+}
+
+static int save_state(void *arg, struct buf *out)
+{
+	struct ctl *ctl = arg;
+
+	return fleet_pack(ctl->fleet, out) ? -1 : 0;
+}
+
+static int load_state(void *arg, uint64_t last_index, const uint8_t *data,
+		      size_t len_bytes)
+{
+	struct ctl *ctl = arg;
+
+	if (fleet_load(ctl->fleet, data, len_bytes))
+		return -1;
+	if (fleet_applied_index(ctl->fleet) != last_index) {
+		log_error("control",
+			  "snapshot up to index %llu has the state of %llu",
+			  (unsigned long long)last_index,
+			  (unsigned long long)fleet_applied_index(ctl->fleet));
+		return -1;
+	}
+	return 0;
+}
+
+/*
+ * Only noted here: the soft state changes in ctl_leads(), outside of raft.
+ */
+static void leader_changed(void *arg, bool leader)
+{
+	struct ctl *ctl = arg;
+
+	if (!leader)
+		ctl->lost = true;
+}
+
+const struct raft_ops ctl_raft_ops = {
+	.send = send_raft,
+	.apply = apply,
+	.save_state = save_state,
+	.load_state = load_state,
+	.leader_changed = leader_changed,
+};
--- a/almondward/registry.c
+++ b/almondward/registry.c
@@ -355,6 +355,8 @@
 	bool changed = false;
 
 	for (server = reg->servers; server; server = server->hh.next) {
+		server->msg.age_ms =
+			(uint32_t)(clk_now_ms(reg->clk) - server->heard_ms);
 		if (server->left)
 			continue;
 		state = AW__SERVER_STATE__SERVER_ACTIVE;
--- a/almondward/registry.h
+++ b/almondward/registry.h
@@ -51,8 +51,8 @@
 enum reg_error reg_server(struct reg *reg, const Aw__Server *from);
 
 /*
- * Judges silence and drops what is too old. To be called before the table is
- * used.
+ * Judges silence, sets the ages and drops what is too old. To be called before
+ * the table is used.
  */
 void reg_tick(struct reg *reg);
 
