Report peaks of demand, ages of crashes and quarantines in force

A sample every 500 ms misses bursts that come and go between two reports, so demand for slots now carries the peaks since the last report. Crash reports carry their age and a new leader is told of the quarantines in force here; it would otherwise take repeated reports for simultaneous losses of a zone. Announcements take at most 10,000 slots, the leader's limit.

--- a/almondward/agent_internal.h
+++ b/almondward/agent_internal.h
@@ -66,12 +66,20 @@
 	uint32_t target;
 	uint32_t held;
 	uint32_t used;
+	struct demand *demand; /* of the server's upstream; NULL: never used */
 	UT_hash_handle hh;
 };
 
+/*
+ * Demand for slots of one upstream. Peaks are since the last report, which
+ * would otherwise miss what comes and goes between two reports.
+ */
 struct demand {
 	char upstream[NAME_BYTES_MAX];
 	uint32_t queued;
+	uint32_t queued_peak;
+	uint32_t used;
+	uint32_t used_peak;
 	UT_hash_handle hh;
 };
 
@@ -189,7 +197,6 @@
 void slots_drop_server(struct agent *agent, const char *address,
 		       uint64_t but_incarnation);
 void slots_destroy(struct agent *agent);
-uint32_t slots_used_of_upstream(struct agent *agent, const char *upstream);
 
 /* agent_servers.c */
 void servers_apply(struct agent *agent, const Aw__Grant *grant);
--- a/almondward/agent_report.c
+++ b/almondward/agent_report.c
@@ -21,6 +21,8 @@
 	Aw__Server **server_list;
 	Aw__CrashReport *crashes;
 	Aw__CrashReport **crash_list;
+	Aw__Quarantine *quarantines;
+	Aw__Quarantine **quarantine_list;
 };
 
 static size_t count_grants(struct agent *agent)
@@ -49,6 +51,8 @@
 	free(builder->server_list);
 	free(builder->crashes);
 	free(builder->crash_list);
+	free(builder->quarantines);
+	free(builder->quarantine_list);
 }
 
 /* One more than needed, so that no size is 0. */
@@ -63,6 +67,7 @@
 	size_t nr_slots = HASH_COUNT(agent->slots);
 	size_t nr_demands = HASH_COUNT(agent->demands);
 	size_t nr_servers = HASH_COUNT(agent->servers);
+	size_t nr_quarantines = HASH_COUNT(agent->quarantines);
 
 	return NEW(nr_buckets, builder->tokens) &&
 	       NEW_LIST(nr_buckets, builder->token_list) &&
@@ -75,7 +80,9 @@
 	       NEW(nr_servers, builder->servers) &&
 	       NEW_LIST(nr_servers, builder->server_list) &&
 	       NEW(agent->nr_crashes, builder->crashes) &&
-	       NEW_LIST(agent->nr_crashes, builder->crash_list);
+	       NEW_LIST(agent->nr_crashes, builder->crash_list) &&
+	       NEW(nr_quarantines, builder->quarantines) &&
+	       NEW_LIST(nr_quarantines, builder->quarantine_list);
 }
 
 static void add_uses(struct builder *builder, struct bucket *bucket,
@@ -164,8 +171,10 @@
 
 		aw__slot_demand__init(to);
 		to->upstream = demand->upstream;
-		to->in_use = slots_used_of_upstream(agent, demand->upstream);
-		to->queued = demand->queued;
+		to->in_use = demand->used_peak;
+		to->queued = demand->queued_peak;
+		demand->used_peak = demand->used;
+		demand->queued_peak = demand->queued;
 		builder->demand_list[nr++] = to;
 	}
 	builder->report.demands = builder->demand_list;
@@ -210,8 +219,33 @@
 		agent->whole_table_sequence = agent->sequence;
 }
 
+static void add_quarantines(struct agent *agent, struct builder *builder)
+{
+	uint64_t now_ms = clk_now_ms(agent->clk);
+	struct quarantine *entry, *next;
+	size_t nr = 0;
+
+	if (!agent->whole_table_due)
+		return;
+	HASH_ITER(hh, agent->quarantines, entry, next)
+	{
+		Aw__Quarantine *to = &builder->quarantines[nr];
+
+		if (entry->until_ms <= now_ms)
+			continue;
+		aw__quarantine__init(to);
+		to->fingerprint.data = entry->fingerprint;
+		to->fingerprint.len = HASH_BYTES;
+		to->expires_in_ms = (uint32_t)(entry->until_ms - now_ms);
+		builder->quarantine_list[nr++] = to;
+	}
+	builder->report.quarantines = builder->quarantine_list;
+	builder->report.n_quarantines = nr;
+}
+
 static void add_crashes(struct agent *agent, struct builder *builder)
 {
+	uint64_t now_ms = clk_now_ms(agent->clk);
 	struct crash *crash;
 	size_t nr = 0;
 
@@ -226,6 +260,7 @@
 		to->fingerprint.len = HASH_BYTES;
 		to->server_address = crash->address;
 		to->server_incarnation = crash->incarnation;
+		to->age_ms = (uint32_t)(now_ms - crash->at_ms);
 		if (!crash->reported)
 			crash->reported = agent->sequence;
 		builder->crash_list[nr++] = to;
@@ -270,6 +305,7 @@
 	add_slots(agent, &builder);
 	add_servers(agent, &builder);
 	add_crashes(agent, &builder);
+	add_quarantines(agent, &builder);
 	frame.body_case = AW__FRAME__BODY_REPORT;
 	frame.report = &builder.report;
 	/* The lease counts from here, before the frame can reach the leader. */
--- a/almondward/agent_slots.c
+++ b/almondward/agent_slots.c
@@ -111,14 +111,40 @@
 	}
 }
 
+static struct demand *find_or_add_demand(struct agent *agent,
+					 const char *upstream)
+{
+	struct demand *demand;
+
+	HASH_FIND_STR(agent->demands, upstream, demand);
+	if (demand)
+		return demand;
+	demand = calloc(1, sizeof(*demand));
+	if (!demand)
+		return NULL;
+	snprintf(demand->upstream, sizeof(demand->upstream), "%s", upstream);
+	HASH_ADD_STR(agent->demands, upstream, demand);
+	return demand;
+}
+
 struct agent_slot *agent_slot_take(struct agent *agent, const char *address)
 {
 	struct agent_slot *slot = find_current(agent, address);
+	struct demand *demand;
 
 	/* While used exceeds the target, held is used: nothing is free. */
 	if (!slot || slot->used >= slot->target)
 		return NULL;
+	if (!slot->demand)
+		slot->demand = find_or_add_demand(
+			agent, agent_server(agent, address)->upstream);
+	demand = slot->demand;
+	if (!demand)
+		return NULL;
 	slot->used++;
+	demand->used++;
+	if (demand->used > demand->used_peak)
+		demand->used_peak = demand->used;
 	return slot;
 }
 
@@ -127,6 +153,7 @@
 	bool lowers = slot->used > slot->target;
 
 	slot->used--;
+	slot->demand->used--;
 	settle(agent, slot);
 	/* The leader waits for this slot. */
 	if (lowers)
@@ -142,36 +169,16 @@
 	*used = slot ? slot->used : 0;
 }
 
-uint32_t slots_used_of_upstream(struct agent *agent, const char *upstream)
-{
-	struct agent_slot *slot, *next;
-	struct agent_server *server;
-	uint32_t used = 0;
-
-	HASH_ITER(hh, agent->slots, slot, next)
-	{
-		server = agent_server(agent, slot->key.address);
-		if (server && !strcmp(server->upstream, upstream))
-			used += slot->used;
-	}
-	return used;
-}
-
 void agent_set_queued(struct agent *agent, const char *upstream,
 		      uint32_t queued)
 {
-	struct demand *demand;
+	struct demand *demand = find_or_add_demand(agent, upstream);
 
-	HASH_FIND_STR(agent->demands, upstream, demand);
-	if (!demand) {
-		demand = calloc(1, sizeof(*demand));
-		if (!demand)
-			return;
-		snprintf(demand->upstream, sizeof(demand->upstream), "%s",
-			 upstream);
-		HASH_ADD_STR(agent->demands, upstream, demand);
-	}
+	if (!demand)
+		return;
 	if (queued > demand->queued)
 		agent->demand_changed = true;
 	demand->queued = queued;
+	if (queued > demand->queued_peak)
+		demand->queued_peak = queued;
 }
--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -6445,7 +6445,7 @@
   (ProtobufCMessageInit) aw__slot_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__crash_report__field_descriptors[3] =
+static const ProtobufCFieldDescriptor aw__crash_report__field_descriptors[4] =
 {
   {
     "fingerprint",
@@ -6483,8 +6483,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__CrashReport, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__crash_report__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
   0,   /* field[0] = fingerprint */
   1,   /* field[1] = server_address */
   2,   /* field[2] = server_incarnation */
@@ -6492,7 +6505,7 @@
 static const ProtobufCIntRange aw__crash_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor aw__crash_report__descriptor =
 {
@@ -6502,14 +6515,14 @@
   "Aw__CrashReport",
   "aw",
   sizeof(Aw__CrashReport),
-  3,
+  4,
   aw__crash_report__field_descriptors,
   aw__crash_report__field_indices_by_name,
   1,  aw__crash_report__number_ranges,
   (ProtobufCMessageInit) aw__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor aw__report__field_descriptors[14] =
 {
   {
     "sequence",
@@ -6667,6 +6680,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quarantines",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Aw__Report, n_quarantines),
+    offsetof(Aw__Report, quarantines),
+    &aw__quarantine__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__report__field_indices_by_name[] = {
   8,   /* field[8] = crashes */
@@ -6677,6 +6702,7 @@
   3,   /* field[3] = instance_incarnation */
   1,   /* field[1] = known_state_version */
   11,   /* field[11] = known_table_version */
+  13,   /* field[13] = quarantines */
   0,   /* field[0] = sequence */
   7,   /* field[7] = servers */
   5,   /* field[5] = slots */
@@ -6686,7 +6712,7 @@
 static const ProtobufCIntRange aw__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor aw__report__descriptor =
 {
@@ -6696,7 +6722,7 @@
   "Aw__Report",
   "aw",
   sizeof(Aw__Report),
-  13,
+  14,
   aw__report__field_descriptors,
   aw__report__field_indices_by_name,
   1,  aw__report__number_ranges,
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -985,10 +985,14 @@
   ProtobufCBinaryData fingerprint;
   char *server_address;
   uint64_t server_incarnation;
+  /*
+   * since the connection broke, when sent
+   */
+  uint32_t age_ms;
 };
 #define AW__CRASH_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__crash_report__descriptor) \
-    , {0,NULL}, (char *)protobuf_c_empty_string, 0 }
+    , {0,NULL}, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Aw__Report
@@ -1027,10 +1031,15 @@
    * servers holds all that is known here
    */
   protobuf_c_boolean whole_table;
+  /*
+   * in force here, with whole_table
+   */
+  size_t n_quarantines;
+  Aw__Quarantine **quarantines;
 };
 #define AW__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__report__descriptor) \
-    , 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Aw__Quarantine
--- a/almondward/entry_announce.c
+++ b/almondward/entry_announce.c
@@ -6,7 +6,7 @@
 #include "entry_http.h"
 
 #define HEARTBEAT_MS 1000
-#define SLOTS_MAX 100000
+#define SLOTS_MAX 10000 /* the leader takes no more, see registry.h */
 /* JSON numbers are exact up to here. */
 #define NUMBER_MAX 9007199254740992.0
 
@@ -86,7 +86,7 @@
 	if (!to->zone)
 		return "zone is not a name of 1 to 63 bytes";
 	if (!number_of(root, "slots", &slots) || !slots || slots > SLOTS_MAX)
-		return "slots is not a number from 1 to 100000";
+		return "slots is not a number from 1 to 10000";
 	to->slots = (uint32_t)slots;
 	return NULL;
 }
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -295,6 +295,33 @@
 	EXPECT_GE(a.sent.size(), 9u);
 }
 
+// The leader must hear of a burst that came and went between two reports.
+TEST(Agent, DemandReportsPeaks)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+
+	a.lead();
+	parts.with_state = true;
+	parts.table_version = 1;
+	parts.server("u", "s1", "z1", 1, 1);
+	parts.slot("s1", 1, 3);
+	a.grant(parts);
+	struct agent_slot *slots[2] = { agent_slot_take(a.agent, "s1"),
+					agent_slot_take(a.agent, "s1") };
+	agent_set_queued(a.agent, "u", 5);
+	agent_set_queued(a.agent, "u", 0);
+	agent_slot_release(a.agent, slots[0]);
+	a.pass(100);
+	ASSERT_EQ(1u, a.report()->n_demands);
+	EXPECT_EQ(2u, a.report()->demands[0]->in_use);
+	EXPECT_EQ(5u, a.report()->demands[0]->queued);
+	a.pass(500);
+	EXPECT_EQ(1u, a.report()->demands[0]->in_use);
+	EXPECT_EQ(0u, a.report()->demands[0]->queued);
+	agent_slot_release(a.agent, slots[1]);
+}
+
 // An old announcement that arrives late must not bring a server back.
 TEST(Agent, LeaveIsFinalForItsIncarnation)
 {
@@ -398,7 +425,19 @@
 	a.grant(verdict);
 	EXPECT_TRUE(agent_crash_decided(a.agent, ticket));
 	EXPECT_TRUE(agent_quarantined(a.agent, fingerprint));
-	clk_advance_ms(a.clk, 1000);
+	// A new leader is told of both, with their ages.
+	clk_advance_ms(a.clk, 400);
+	a.lead(2, "c2");
+	AgentFake::GrantParts next;
+	next.term = 2;
+	next.from = "c2";
+	a.grant(next);
+	a.pass(10);
+	ASSERT_EQ(1u, a.report()->n_crashes);
+	EXPECT_EQ(420u, a.report()->crashes[0]->age_ms);
+	ASSERT_EQ(1u, a.report()->n_quarantines);
+	EXPECT_EQ(590u, a.report()->quarantines[0]->expires_in_ms);
+	clk_advance_ms(a.clk, 590);
 	EXPECT_FALSE(agent_quarantined(a.agent, fingerprint));
 }
 
