Start the test fleet on ports outside the ephemeral range

A trial run failed with "Address already in use": the port of an entry instance had been taken by an outgoing connection meanwhile. Ports now come from 10000 to 31999. init gets settings without relays, since a relay accepts connections before the instance behind it runs.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -61,15 +61,27 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port outside the range from which outgoing connections take theirs."""
+    rng = random.SystemRandom()
+    while True:
+        port = rng.randrange(10000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in used_ports:
+            used_ports.add(port)
+            return port
 
 
 def free_address():
     return f"127.0.0.1:{free_port()}"
 
 
+used_ports = set()
+
+
 class Answer:
     def __init__(self, status, headers, body):
         self.status = status
@@ -309,7 +321,7 @@
             path.write_text(text + "\n")
             path.chmod(0o600)
 
-    def _write_settings(self, name):
+    def _write_settings(self, name, direct=False):
         control = name in self.control_names
         lines = [f"role: {'control' if control else 'entry'}", f"name: {name}",
                  f"zone: {self.zone_of[name]}", "listen:",
@@ -323,7 +335,7 @@
                       f"  servers: {self.announce[name]}"]
         lines.append("controls:")
         for other in self.control_names:
-            relay = self.relays.get((name, other))
+            relay = None if direct else self.relays.get((name, other))
             address = relay.address if relay else self.peer_address[other]
             lines.append(f"  - {{name: {other}, address: \"{address}\"}}")
         lines += ["secrets:", f"  cluster_file: {self.dir}/cluster.secret",
@@ -331,7 +343,9 @@
         if not control:
             lines.append(f"  announce_file: {self.dir}/announce.secret")
         lines += ["log:", "  level: debug"]
-        (self.dir / f"{name}.yaml").write_text("\n".join(lines) + "\n")
+        path = self.dir / (f"{name}-direct.yaml" if direct else f"{name}.yaml")
+        path.write_text("\n".join(lines) + "\n")
+        return path
 
     # ---- life of processes ----
 
@@ -345,8 +359,10 @@
 
     def start(self, keys=("kim-trusses", "han-frames", "small-office")):
         first = self.control_names[0]
-        done = subprocess.run([str(self.binary), "init", "-c",
-                               str(self.dir / f"{first}.yaml")],
+        # A relay accepts connections before the instance behind it runs, and
+        # init is refused when another control instance seems to run.
+        path = self._write_settings(first, direct=True)
+        done = subprocess.run([str(self.binary), "init", "-c", str(path)],
                               capture_output=True, text=True, timeout=10)
         assert done.returncode == 0, done.stderr
         for name in self.control_names:
