Test the control role's decisions

Covers drains (cap over all drains, ramp, return after a cancel, headroom with figures), Grants, the outcome of proposals and the bodies of operators' changes.

--- /dev/null
+++ b/tests/control_test.cc
@@ -0,0 +1,511 @@
+// Guards the leader's decisions: drains under their cap and with headroom,
+// Grants, and the outcome of proposals when leadership changes. The functions
+// of raft, peer and config that are called are replaced here.
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "config.h"
+#include "control_internal.h"
+}
+
+namespace
+{
+
+bool leads = true;
+enum raft_error propose_result = RAFT_OK;
+uint64_t next_index, now_term = 3;
+std::vector<std::pair<uint64_t, Aw__ProposeStatus>> replies;
+Aw__Op *last_op;
+uint64_t cap_permille = 100, headroom_permille = 150;
+
+} // namespace
+
+extern "C" {
+
+bool ctl_leads(struct ctl *)
+{
+	return leads;
+}
+void ctl_count(struct ctl *, const char *, const char *)
+{
+}
+void ctl_flush_soon(struct ctl *)
+{
+}
+void ctl_raft_error(struct ctl *ctl, enum raft_error)
+{
+	ctl->failed = true;
+}
+enum raft_error raft_propose(struct raft *, const uint8_t *op, size_t op_bytes,
+			     uint64_t *index, uint64_t *term)
+{
+	if (last_op)
+		aw__op__free_unpacked(last_op, NULL);
+	last_op = aw__op__unpack(NULL, op_bytes, op);
+	*index = ++next_index;
+	*term = now_term;
+	return propose_result;
+}
+const char *raft_leader(const struct raft *)
+{
+	return "c2";
+}
+enum loop_error peer_send(struct peer_link *, const Aw__Frame *frame)
+{
+	replies.push_back(
+		{ frame->propose_reply->call, frame->propose_reply->status });
+	return LOOP_OK;
+}
+Aw__Role peer_link_role(const struct peer_link *link)
+{
+	return *(const Aw__Role *)link;
+}
+
+static const struct cfg_setting_info infos[CFG_SETTING_COUNT] = {
+	{ "deadline_ms", 1, 100000, 10000, "" }, {}, {}, {}, {},
+	{ "cross_region", 0, 1, 1, "" },
+};
+
+const struct cfg_setting_info *cfg_setting_info(enum cfg_setting setting)
+{
+	return &infos[setting];
+}
+void cfg_decide(const Aw__Config *, enum cfg_setting setting,
+		const struct cfg_subject *, struct cfg_decision *decision)
+{
+	decision->value =
+		setting == CFG_SHIFT_CAP_PERMILLE ? cap_permille :
+		setting == CFG_HEADROOM_PERMILLE  ? headroom_permille :
+						    infos[setting].value;
+}
+enum cfg_error cfg_parse_yaml(const char *, const char *, size_t, Aw__Config **,
+			      char *text, size_t text_bytes)
+{
+	snprintf(text, text_bytes, "configuration:1: bad");
+	return CFG_ERR_SYNTAX;
+}
+const char *cfg_region_of_zone(const Aw__Config *, const char *zone)
+{
+	return zone[1] == '3' ? "r2" : "r1";
+}
+
+} // extern "C"
+
+namespace
+{
+
+// ---- drains ----
+
+struct DrainCase : testing::Test {
+	struct clk *clk = clk_create_paused(100000);
+	struct drain_state *state = drain_create();
+	struct alloc_slots *slots = alloc_slots_create(clk, 1);
+	std::vector<struct alloc_server> servers;
+	struct drain_upstream up = { "u", 100, 150, true };
+	Aw__Drain drain;
+
+	DrainCase()
+	{
+		const char *zones[] = { "z1", "z1", "z2", "z2", "z3", "z3" };
+		static const char *const names[] = { "s1", "s2", "s3",
+						     "s4", "s5", "s6" };
+
+		for (int i = 0; i < 6; i++)
+			servers.push_back({ "u", names[i], zones[i],
+					    i < 4 ? "r1" : "r2", 1, 5, 5 });
+		aw__drain__init(&drain);
+		drain.name = (char *)"d";
+		drain.target_kind = AW__DRAIN_TARGET__DRAIN_ZONE;
+		drain.target = (char *)"z1";
+	}
+	~DrainCase() override
+	{
+		drain_destroy(state);
+		alloc_slots_destroy(slots);
+		clk_destroy(clk);
+	}
+	uint32_t usable(const std::vector<Aw__Drain *> &drains)
+	{
+		std::vector<struct alloc_server> now = servers;
+		uint32_t sum = 0;
+
+		EXPECT_EQ(0, drain_apply(state, now.data(), now.size(),
+					 drains.data(), drains.size()));
+		for (const auto &server : now)
+			sum += server.usable;
+		return sum;
+	}
+	void round()
+	{
+		clk_advance_ms(clk, DRAIN_STEP_MS);
+		ASSERT_EQ(0, drain_round(state, servers.data(), servers.size(),
+					 &up, 1));
+	}
+	void load(uint32_t demand)
+	{
+		std::string name = "i", zone = "z1", upstream = "u";
+		Aw__Instance instance;
+		Aw__SlotDemand part, *list[] = { &part };
+		Aw__Report report;
+		const Aw__SlotGrant *grants;
+		size_t nr;
+
+		aw__instance__init(&instance);
+		aw__slot_demand__init(&part);
+		aw__report__init(&report);
+		instance.name = &name[0];
+		instance.zone = &zone[0];
+		part.upstream = &upstream[0];
+		part.in_use = demand;
+		report.instance = &instance;
+		report.instance_incarnation = 1;
+		report.demands = list;
+		report.n_demands = 1;
+		ASSERT_EQ(ALLOC_OK, alloc_slots_report(slots, &report, "r1",
+						       &grants, &nr));
+	}
+	bool carries(std::string *text)
+	{
+		const Aw__Drain *list[] = { &drain };
+		uint32_t shares[] = { 1000 };
+		char figures[512] = "";
+		bool good = drain_carries(servers.data(), servers.size(), list,
+					  shares, 1, 0, &up, 1, slots, figures,
+					  sizeof(figures));
+
+		*text = figures;
+		return good;
+	}
+};
+
+// 30 slots and a cap of 100 permille: 3 slots a second, whatever the ramp.
+TEST_F(DrainCase, NoRoundMovesMoreThanTheCap)
+{
+	uint32_t before = usable({ &drain }), now;
+	int rounds = 0;
+
+	while (drain.share_permille < 1000 && ++rounds < 50) {
+		round();
+		drain.share_permille =
+			drain_next(state, &drain, clk_now_ms(clk),
+				   servers.data(), servers.size());
+		now = usable({ &drain });
+		EXPECT_LE(before - now, 3u);
+		before = now;
+	}
+	EXPECT_EQ(20u, before);
+	EXPECT_EQ(4, rounds); // 10 slots
+}
+
+// Two drains share the cap of the upstream.
+TEST_F(DrainCase, CapHoldsOverAllDrainsOfAnUpstream)
+{
+	Aw__Drain other = drain;
+	uint32_t before = usable({ &drain, &other }), now;
+
+	other.name = (char *)"d2";
+	other.target = (char *)"z3";
+	for (int i = 0; i < 20; i++) {
+		round();
+		for (Aw__Drain *at : { &drain, &other })
+			at->share_permille =
+				drain_next(state, at, clk_now_ms(clk),
+					   servers.data(), servers.size());
+		now = usable({ &drain, &other });
+		EXPECT_LE(before - now, 3u);
+		before = now;
+	}
+	EXPECT_EQ(10u, before);
+}
+
+TEST_F(DrainCase, RampIsNotShorterThanPlanned)
+{
+	int rounds = 0;
+
+	drain.ramp_s = 20;
+	usable({ &drain });
+	while (drain.share_permille < 1000 && ++rounds < 100) {
+		round();
+		drain.share_permille =
+			drain_next(state, &drain, clk_now_ms(clk),
+				   servers.data(), servers.size());
+	}
+	EXPECT_EQ(20, rounds);
+}
+
+// Cancelling must not move the whole load back at once.
+TEST_F(DrainCase, CancelledDrainReturnsUnderTheCap)
+{
+	uint32_t before, now;
+
+	drain.share_permille = 1000;
+	before = usable({ &drain });
+	EXPECT_EQ(20u, before);
+	EXPECT_EQ(20u, usable({}));
+	for (int i = 0; i < 4; i++) {
+		round();
+		now = usable({});
+		EXPECT_LE(now - before, 3u);
+		EXPECT_EQ(now, usable({})) << "twice in a round";
+		before = now;
+	}
+	EXPECT_EQ(30u, before);
+}
+
+TEST_F(DrainCase, RefusedWithFiguresWhenTheRestCannotCarry)
+{
+	std::string text;
+
+	load(17);
+	EXPECT_TRUE(carries(&text)); // 20 slots less 150 permille: 17
+	load(18);
+	EXPECT_FALSE(carries(&text));
+	EXPECT_NE(std::string::npos,
+		  text.find("20 of 30 slots remain, the load is 18"))
+		<< text;
+	load(9);
+	clk_advance_ms(clk, 10000);
+	load(9);
+	up.cross_region = false; // 10 slots remain in the region of z1
+	EXPECT_FALSE(carries(&text));
+	EXPECT_NE(std::string::npos, text.find("region r1")) << text;
+}
+
+// ---- Report and Grant ----
+
+TEST(Soft, GrantsHaveStateAndTableOnlyWhenTheyChanged)
+{
+	struct clk *clk = clk_create_paused(100000);
+	struct soft *soft = soft_create(clk, 4, 10, NULL);
+	Aw__Config config;
+	Aw__FleetState state;
+	struct soft_view view = {};
+	Aw__Instance instance;
+	Aw__Report report;
+	const Aw__Grant *grant;
+
+	aw__config__init(&config);
+	aw__fleet_state__init(&state);
+	aw__instance__init(&instance);
+	aw__report__init(&report);
+	instance.name = (char *)"i";
+	instance.zone = (char *)"z1";
+	instance.address = (char *)"10.0.0.1:80";
+	report.instance = &instance;
+	report.instance_incarnation = 9;
+	view.config = &config;
+	view.state = &state;
+	view.state_version = 20;
+
+	report.sequence = 1;
+	ASSERT_EQ(0, soft_report(soft, &view, &report, &grant));
+	ASSERT_NE(nullptr, grant);
+	EXPECT_EQ(&state, grant->state);
+	EXPECT_EQ((uint32_t)FLEET_LEASE_MS, grant->lease_ms);
+	EXPECT_FALSE(grant->table_included); // others may not have reported
+	ASSERT_EQ(0, soft_report(soft, &view, &report, &grant));
+	EXPECT_EQ(nullptr, grant); // repeated
+
+	clk_advance_ms(clk, SOFT_TABLE_WAIT_MS);
+	report.sequence = 2;
+	report.known_state_version = 20;
+	// Equal by chance, but of another term.
+	report.known_table_version = soft_table_version(soft);
+	report.grant_term = 3;
+	ASSERT_EQ(0, soft_report(soft, &view, &report, &grant));
+	EXPECT_EQ(nullptr, grant->state);
+	ASSERT_TRUE(grant->table_included);
+	EXPECT_EQ(1u, grant->n_instances);
+
+	report.sequence = 3;
+	report.grant_term = 4;
+	report.known_table_version = grant->table_version;
+	ASSERT_EQ(0, soft_report(soft, &view, &report, &grant));
+	EXPECT_FALSE(grant->table_included);
+	soft_destroy(soft);
+	clk_destroy(clk);
+}
+
+// ---- proposals ----
+
+struct ProposeCase : testing::Test {
+	struct ctl ctl = {};
+	Aw__Role entry = AW__ROLE__ROLE_ENTRY, control = AW__ROLE__ROLE_CONTROL;
+	Aw__OpClaim claim;
+	Aw__Op op;
+	Aw__Propose propose;
+	Aw__OpResult result;
+
+	ProposeCase()
+	{
+		ctl.clk = clk_create_paused(7000);
+		leads = true;
+		propose_result = RAFT_OK;
+		replies.clear();
+		aw__op_claim__init(&claim);
+		aw__op__init(&op);
+		aw__propose__init(&propose);
+		aw__op_result__init(&result);
+		op.body_case = AW__OP__BODY_CLAIM;
+		op.claim = &claim;
+		propose.op = &op;
+	}
+	~ProposeCase() override
+	{
+		ctl_calls_unknown(&ctl);
+		clk_destroy(ctl.clk);
+		if (last_op)
+			aw__op__free_unpacked(last_op, NULL);
+		last_op = NULL;
+	}
+	void ask(uint64_t call, Aw__Role *link)
+	{
+		propose.call = call;
+		ctl_on_propose(&ctl, (struct peer_link *)link, &propose);
+	}
+	void expect(size_t nr, uint64_t call, Aw__ProposeStatus status)
+	{
+		ASSERT_EQ(nr, replies.size());
+		EXPECT_EQ(call, replies.back().first);
+		EXPECT_EQ(status, replies.back().second);
+	}
+};
+
+TEST_F(ProposeCase, AnsweredOnlyWhenApplied)
+{
+	ask(1, &entry);
+	EXPECT_EQ(0u, replies.size());
+	EXPECT_EQ(7000u, last_op->time_ms);
+	ctl_applied(&ctl, next_index, now_term, &result);
+	expect(1, 1, AW__PROPOSE_STATUS__PROPOSE_APPLIED);
+	ctl_applied(&ctl, next_index, now_term, &result);
+	EXPECT_EQ(1u, replies.size());
+}
+
+// An entry of another term at the index is not the one that was proposed.
+TEST_F(ProposeCase, EntryOfAnotherTermIsNotTheProposal)
+{
+	ask(1, &entry);
+	ctl_applied(&ctl, next_index, now_term + 1, &result);
+	expect(1, 1, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER);
+}
+
+// "Not appended" would allow a second claim while the first may still count.
+TEST_F(ProposeCase, UnknownWhenLeadershipIsLost)
+{
+	ask(1, &entry);
+	ctl_calls_unknown(&ctl);
+	expect(1, 1, AW__PROPOSE_STATUS__PROPOSE_UNKNOWN);
+}
+
+TEST_F(ProposeCase, RefusedBeforeAnythingWasAppended)
+{
+	propose_result = RAFT_ERR_STORE;
+	ask(1, &entry);
+	expect(1, 1, AW__PROPOSE_STATUS__PROPOSE_REFUSED);
+	propose_result = RAFT_ERR_NOT_LEADER;
+	ask(2, &entry);
+	expect(2, 2, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER);
+	propose_result = RAFT_ERR_FAILED;
+	ask(3, &entry);
+	expect(3, 3, AW__PROPOSE_STATUS__PROPOSE_UNKNOWN);
+	EXPECT_TRUE(ctl.failed);
+	leads = false;
+	ask(4, &entry);
+	expect(4, 4, AW__PROPOSE_STATUS__PROPOSE_NOT_LEADER);
+}
+
+// Peers may only claim: all else is for operators and their token.
+TEST_F(ProposeCase, PeersProposeClaimsOnly)
+{
+	Aw__OpKeyWithdraw withdraw;
+
+	ask(1, &control);
+	expect(1, 1, AW__PROPOSE_STATUS__PROPOSE_REFUSED);
+	aw__op_key_withdraw__init(&withdraw);
+	op.body_case = AW__OP__BODY_KEY_WITHDRAW;
+	op.key_withdraw = &withdraw;
+	ask(2, &entry);
+	expect(2, 2, AW__PROPOSE_STATUS__PROPOSE_REFUSED);
+}
+
+TEST_F(ProposeCase, AnswerOfALinkThatWentIsDropped)
+{
+	ask(1, &entry);
+	ctl_propose_link_down(&ctl, (struct peer_link *)&entry);
+	ctl_applied(&ctl, next_index, now_term, &result);
+	EXPECT_EQ(0u, replies.size());
+}
+
+// ---- bodies of operators' changes ----
+
+// Nothing that an operator wrote may be dropped or read as something else.
+TEST(Change, BodiesAreReadWholeOrRefused)
+{
+	const struct {
+		enum ctl_change change;
+		const char *body;
+		const char *cause; // "": accepted
+	} rows[] = {
+		{ CTL_CHANGE_EXCEPTION_ADD,
+		  R"({"name":"e","setting":"s","value":5,"reason":"r"})", "" },
+		{ CTL_CHANGE_EXCEPTION_ADD,
+		  R"({"name":"e","setting":"s","value":5})", "reason" },
+		{ CTL_CHANGE_EXCEPTION_ADD,
+		  R"({"name":"e","setting":"s","value":1.5,"reason":"r"})",
+		  "value" },
+		{ CTL_CHANGE_EXCEPTION_ADD,
+		  R"({"name":"e","setting":"s","value":-1,"reason":"r"})",
+		  "value" },
+		{ CTL_CHANGE_EXCEPTION_ADD,
+		  R"({"name":"e","setting":"s","value":1e30,"reason":"r"})",
+		  "value" },
+		{ CTL_CHANGE_EXCEPTION_ADD,
+		  R"({"name":"e","setting":"s","value":5,"reason":"r",)"
+		  R"("custmer":"c"})",
+		  "custmer" },
+		{ CTL_CHANGE_EXCEPTION_ADD,
+		  R"({"name":"e","name":"f","setting":"s","value":5,)"
+		  R"("reason":"r"})",
+		  "name" },
+		{ CTL_CHANGE_EXCEPTION_REMOVE, R"({})", "reason" },
+		{ CTL_CHANGE_EXCEPTION_REMOVE, R"([])", "body" },
+		{ CTL_CHANGE_EXCEPTION_REMOVE, "", "body" },
+		{ CTL_CHANGE_KEY_GRANT,
+		  R"({"id":"k","customer":"c","hash":"00"})", "hash" },
+		{ CTL_CHANGE_KEY_WITHDRAW, "", "" },
+		{ CTL_CHANGE_DRAIN_PLAN,
+		  R"({"name":"d","kind":"zone","target":"z","ramp_s":5,)"
+		  R"("reason":"r","forced":true})",
+		  "" },
+		{ CTL_CHANGE_DRAIN_PLAN,
+		  R"({"name":"d","kind":"zone","target":"z","ramp_s":5,)"
+		  R"("reason":"r","forced":"no"})",
+		  "forced" },
+		{ CTL_CHANGE_DRAIN_PLAN,
+		  R"({"name":"d","kind":"rack","target":"z","ramp_s":5,)"
+		  R"("reason":"r"})",
+		  "kind" },
+		{ CTL_CHANGE_CONFIG, "x", "configuration:1: bad" },
+	};
+
+	for (const auto &row : rows) {
+		char text[256] = "";
+		Aw__Op *op;
+		int got = ctl_make_change(
+			row.change, "n", (const uint8_t *)row.body,
+			strlen(row.body), &op, text, sizeof(text));
+
+		EXPECT_EQ(*row.cause ? -1 : 0, got) << row.body << text;
+		EXPECT_EQ(0u, std::string(text).find(row.cause))
+			<< row.body << ": " << text;
+		if (!got)
+			aw__op__free_unpacked(op, NULL);
+	}
+}
+
+} // namespace
