Print nested lists of responses as blocks

A run against the control and entry roles showed the servers that a choice weighed as one cell of raw JSON. Rows that hold objects are now printed one below the other, lists of plain values with commas.

--- a/almondward/cli_print.c
+++ b/almondward/cli_print.c
@@ -7,19 +7,43 @@
 #define COLUMNS_MAX 24
 #define INDENT 2
 
+static char *scalar_text(const cJSON *value)
+{
+	if (!value || cJSON_IsNull(value))
+		return strdup("-");
+	if (cJSON_IsString(value))
+		return strdup(*value->valuestring ? value->valuestring : "-");
+	return cJSON_PrintUnformatted(value);
+}
+
+static char *list_text(const cJSON *list)
+{
+	struct buf text = BUF_INIT;
+	const cJSON *item;
+	char *item_text;
+
+	cJSON_ArrayForEach(item, list)
+	{
+		item_text = scalar_text(item);
+		buf_printf(&text, "%s%s", text.len_bytes ? ", " : "",
+			   item_text ? item_text : "");
+		free(item_text);
+	}
+	if (!list->child)
+		buf_append_str(&text, "none");
+	if (buf_append(&text, "", 1))
+		buf_release(&text);
+	return (char *)text.data;
+}
+
 /*
  * Text of one cell; freed by the caller, NULL when memory is exhausted.
  */
 static char *cell_text(const cJSON *value)
 {
-	char *text, *pos;
+	char *pos, *text = cJSON_IsArray(value) ? list_text(value) :
+						  scalar_text(value);
 
-	if (!value || cJSON_IsNull(value))
-		text = strdup("-");
-	else if (cJSON_IsString(value))
-		text = strdup(*value->valuestring ? value->valuestring : "-");
-	else
-		text = cJSON_PrintUnformatted(value);
 	/* Text from the network must not move the cursor of a terminal. */
 	for (pos = text; pos && *pos; pos++) {
 		if ((unsigned char)*pos < ' ' || *pos == 0x7f)
@@ -115,26 +139,58 @@
 	}
 }
 
-static bool is_table(const cJSON *value)
+static bool is_list_of_objects(const cJSON *value)
 {
 	return cJSON_IsArray(value) && cJSON_IsObject(value->child) &&
 	       value->child->child;
 }
 
+/*
+ * Rows that hold objects themselves do not fit into the cells of a table.
+ */
+static bool is_table(const cJSON *value)
+{
+	const cJSON *row, *cell;
+
+	if (!is_list_of_objects(value))
+		return false;
+	cJSON_ArrayForEach(row, value)
+	{
+		cJSON_ArrayForEach(cell, row)
+		{
+			if (cJSON_IsObject(cell) || is_list_of_objects(cell))
+				return false;
+		}
+	}
+	return true;
+}
+
 static void print_object(FILE *out, const cJSON *object, int indent);
 
+static void print_objects(FILE *out, const char *name, const cJSON *list,
+			  int indent)
+{
+	int i = 0, nr = cJSON_GetArraySize(list);
+	const cJSON *item;
+
+	cJSON_ArrayForEach(item, list)
+	{
+		fprintf(out, "%*s%s %d of %d:\n", indent, "", name, ++i, nr);
+		print_object(out, item, indent + INDENT);
+	}
+}
+
 static void print_member(FILE *out, const cJSON *member, size_t width,
 			 int indent)
 {
-	bool nested = cJSON_IsObject(member) || is_table(member);
-
-	if (!nested) {
+	if (is_list_of_objects(member) && !is_table(member)) {
+		print_objects(out, member->string, member, indent);
+		return;
+	}
+	if (!cJSON_IsObject(member) && !is_table(member)) {
 		fprintf(out, "%*s%-*s  ", indent, "", (int)width,
 			member->string);
-		if (cJSON_IsArray(member) && !member->child)
-			fputs("none\n", out);
-		else
-			print_cell(out, member, 0, true);
+		print_cell(out, member, 0, true);
 		return;
 	}
 	fprintf(out, "%*s%s:\n", indent, "", member->string);
@@ -154,7 +210,7 @@
 
 	cJSON_ArrayForEach(member, object)
 	{
-		if (!cJSON_IsObject(member) && !is_table(member) &&
+		if (!cJSON_IsObject(member) && !is_list_of_objects(member) &&
 		    strlen(member->string) > width)
 			width = strlen(member->string);
 	}
--- a/tests/cli_test.cc
+++ b/tests/cli_test.cc
@@ -478,6 +478,26 @@
 	EXPECT_EQ("no difference from version 7\n", out);
 }
 
+// A choice lists the servers that it weighed; a table cell cannot show them.
+TEST_F(Cli, NestedListsArePrintedAsBlocks)
+{
+	responder = [](const struct sent &, unsigned *, std::string *body) {
+		*body = "{\"note\":\"\",\"choices\":[{\"seen_age_ms\":1,"
+			"\"servers\":[{\"server\":\"s1\",\"held_slots\":4}]}],"
+			"\"voters\":[\"c1\",\"c2\"]}";
+		return CLI_CALL_DONE;
+	};
+	EXPECT_EQ(CLI_DONE, run("status" + system_options));
+	EXPECT_EQ("note    -\n"
+		  "choices 1 of 1:\n"
+		  "  seen_age_ms  1\n"
+		  "  servers:\n"
+		  "    SERVER  HELD_SLOTS\n"
+		  "    s1      4\n"
+		  "voters  c1, c2\n",
+		  out);
+}
+
 // An instance that cannot be asked may be the one that has the decisions.
 TEST_F(Cli, ExplainAsksAllInstances)
 {
