--- a/almondward/config_check.c
+++ b/almondward/config_check.c
@@ -1,22 +1,16 @@
 #include "config_internal.h"
 
-#include <arpa/inet.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <yaml.h>
-
 /*
  * Grant carries the whole state in one frame of at most 8 MiB, which also
  * holds keys, drains and the server table.
  */
 #define PACKED_BYTES_MAX 4194304
 
-/* Paths of almondward itself, never forwarded. */
-static const char *const own_paths[] = { "/v1", "/almondward" };
-
 static const char *const section_names[CFG_SECTION_COUNT] = {
 	[CFG_ZONES] = "zones",	       [CFG_CUSTOMERS] = "customers",
 	[CFG_UPSTREAMS] = "upstreams", [CFG_ROUTES] = "routes",
@@ -57,53 +51,6 @@
 	return text ? text : "";
 }
 
-bool cfg_name_valid(const char *name)
-{
-	size_t len_bytes = strlen(name);
-
-	return len_bytes && len_bytes < NAME_BYTES_MAX &&
-	       strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789._-") ==
-		       len_bytes;
-}
-
-static bool has_control_character(const char *text)
-{
-	const unsigned char *pos = (const unsigned char *)text;
-
-	for (; *pos; pos++) {
-		if (*pos < ' ' || *pos == 0x7f)
-			return true;
-		/* U+0080 to U+009F, which terminals act on as well. */
-		if (pos[0] == 0xc2 && pos[1] >= 0x80 && pos[1] <= 0x9f)
-			return true;
-	}
-	return false;
-}
-
-/*
- * libyaml refuses to make an event of text that is not UTF-8.
- */
-static bool is_utf8(const char *text)
-{
-	yaml_event_t event;
-
-	if (!yaml_scalar_event_initialize(
-		    &event, NULL, NULL, (const yaml_char_t *)text,
-		    (int)strlen(text), 1, 1, YAML_ANY_SCALAR_STYLE))
-		return false;
-	yaml_event_delete(&event);
-	return true;
-}
-
-bool cfg_reason_valid(const char *reason)
-{
-	size_t len_bytes = strlen(reason);
-
-	return len_bytes && len_bytes < REASON_BYTES_MAX &&
-	       strspn(reason, " ") != len_bytes &&
-	       !has_control_character(reason) && is_utf8(reason);
-}
-
 static bool fail(struct check *check, enum cfg_section section, size_t index,
 		 const char *field, const char *fmt, ...)
 	__attribute__((format(printf, 5, 6)));
@@ -308,47 +255,6 @@
 	return sort_unique(check, &check->upstreams, CFG_UPSTREAMS, "name");
 }
 
-static bool has_dot_segment(const char *path)
-{
-	size_t len_bytes;
-
-	for (; *path; path += len_bytes) {
-		path++;
-		len_bytes = strcspn(path, "/");
-		if ((len_bytes == 1 && path[0] == '.') ||
-		    (len_bytes == 2 && path[0] == '.' && path[1] == '.'))
-			return true;
-	}
-	return false;
-}
-
-/*
- * Returns the cause why a path prefix is refused, or NULL.
- */
-static const char *path_prefix_cause(const char *path)
-{
-	const char *pos;
-	size_t i, len_bytes;
-
-	if (*path != '/')
-		return "must begin with /";
-	if (strlen(path) > 255)
-		return "must have 1 to 255 bytes";
-	for (pos = path; *pos; pos++) {
-		if (*pos <= ' ' || *pos > '~' || strchr("?#%\\\"", *pos))
-			return "must be visible ASCII without ? # % \\ and \"";
-	}
-	if (has_dot_segment(path))
-		return "must have no . or .. segment";
-	for (i = 0; i < sizeof(own_paths) / sizeof(own_paths[0]); i++) {
-		len_bytes = strlen(own_paths[i]);
-		if (!strncmp(path, own_paths[i], len_bytes) &&
-		    (!path[len_bytes] || path[len_bytes] == '/'))
-			return "is a path of the system itself";
-	}
-	return NULL;
-}
-
 static bool is_method(const char *text)
 {
 	size_t i;
@@ -417,7 +323,7 @@
 	if (!check_name(check, CFG_ROUTES, i, "name", route->name))
 		return false;
 	list_add(&check->routes, route->name);
-	cause = path_prefix_cause(text_of(route->path_prefix));
+	cause = cfg_path_prefix_fault(text_of(route->path_prefix));
 	if (cause)
 		return fail(check, CFG_ROUTES, i, "path_prefix",
 			    "path_prefix \"%.256s\" of \"%s\" in routes %s",
@@ -500,60 +406,8 @@
 	return true;
 }
 
-static bool host_bits_are_zero(const uint8_t *ip, size_t ip_bytes,
-			       unsigned long length)
-{
-	size_t i;
-
-	for (i = 0; i < ip_bytes; i++) {
-		unsigned bits = length >= 8 * (i + 1) ? 8 :
-				length <= 8 * i	      ? 0 :
-							(unsigned)length % 8;
-
-		if (ip[i] & (0xffU >> bits))
-			return false;
-	}
-	return true;
-}
-
-/*
- * Parses a client block and writes its only canonical form. Returns the cause
- * of an error or NULL.
- */
-static const char *parse_block(const char *text, char *canonical,
-			       size_t canonical_bytes)
-{
-	char host[INET6_ADDRSTRLEN];
-	const char *slash = strchr(text, '/');
-	int family = strchr(text, ':') ? AF_INET6 : AF_INET;
-	size_t len_bytes, ip_bytes = family == AF_INET6 ? 16 : 4;
-	unsigned long length;
-	uint8_t ip[16];
-	char *end;
-
-	len_bytes = slash ? (size_t)(slash - text) : 0;
-	if (!slash || len_bytes >= sizeof(host))
-		return "must be ADDRESS/LENGTH";
-	memcpy(host, text, len_bytes);
-	host[len_bytes] = '\0';
-	if (inet_pton(family, host, ip) != 1)
-		return "has no valid IPv4 or IPv6 address";
-	length = strtoul(slash + 1, &end, 10);
-	if (slash[1] < '0' || slash[1] > '9' || *end ||
-	    (slash[1] == '0' && slash[2]) || length > 8 * ip_bytes)
-		return family == AF_INET6 ? "must have a length from 0 to 128" :
-					    "must have a length from 0 to 32";
-	if (!host_bits_are_zero(ip, ip_bytes, length))
-		return "has address bits beyond its length";
-	inet_ntop(family, ip, host, sizeof(host));
-	snprintf(canonical, canonical_bytes, "%s/%lu", host, length);
-	return NULL;
-}
-
-#define BLOCK_BYTES_MAX (INET6_ADDRSTRLEN + 4)
-
 static bool check_blocks_in(struct check *check, struct name_list *list,
-			    char (*texts)[BLOCK_BYTES_MAX])
+			    char (*texts)[CFG_BLOCK_BYTES_MAX])
 {
 	const Aw__Config *config = check->config;
 	const char *cause;
@@ -562,8 +416,7 @@
 	for (i = 0; i < config->n_client_blocks; i++) {
 		const Aw__ClientBlock *block = config->client_blocks[i];
 
-		cause = parse_block(text_of(block->prefix), texts[i],
-				    sizeof(texts[i]));
+		cause = cfg_block_fault(text_of(block->prefix), texts[i]);
 		if (cause)
 			return fail(check, CFG_CLIENT_BLOCKS, i, "prefix",
 				    "prefix \"%.80s\" in client_blocks %s",
@@ -580,7 +433,7 @@
 {
 	size_t nr = check->config->n_client_blocks;
 	struct name_list list = { NULL, 0 };
-	char(*texts)[BLOCK_BYTES_MAX];
+	char(*texts)[CFG_BLOCK_BYTES_MAX];
 	bool ok = false;
 
 	texts = calloc(nr ? nr : 1, sizeof(*texts));
--- a/almondward/config_internal.h
+++ b/almondward/config_internal.h
@@ -4,6 +4,8 @@
 #ifndef CONFIG_INTERNAL_H
 #define CONFIG_INTERNAL_H
 
+#include <arpa/inet.h>
+
 #include "config.h"
 
 #ifdef __cplusplus
@@ -15,6 +17,7 @@
 #define CFG_WEIGHT_MAX 1000
 #define CFG_CONNECTIONS_MAX 1000000
 #define CFG_LINK_KBIT_MAX 1000000000
+#define CFG_BLOCK_BYTES_MAX (INET6_ADDRSTRLEN + 4) /* "ADDRESS/LENGTH" */
 
 enum cfg_section {
 	CFG_ZONES,
@@ -33,6 +36,14 @@
  */
 const char *cfg_section_name(enum cfg_section section);
 
+/*
+ * Both return the cause why the text is refused, or NULL. The second writes
+ * the only canonical form of a client block.
+ */
+const char *cfg_path_prefix_fault(const char *path);
+const char *cfg_block_fault(const char *text,
+			    char canonical[CFG_BLOCK_BYTES_MAX]);
+
 /*
  * Where a configuration breaks a rule: the item of a section and its field.
  */
