Test that earlier entries are not committed by counting

Without the check of the own term no schedule failed: the case needs a leader that is elected again with an entry of its earlier term. The new test builds it and fails without the check.

--- a/almondward/raft_snapshot.c
+++ b/almondward/raft_snapshot.c
@@ -24,7 +24,7 @@
 	const Aw__Snapshot *last = store_snapshot(raft->store);
 	uint64_t nr = raft->applied_index - (last ? last->last_index : 0);
 
-	if (nr < raft->snapshot_entries ||
+	if (!nr || nr < raft->snapshot_entries ||
 	    raft_now_ms(raft) < raft->snapshot_retry_ms)
 		return false;
 	return raft->role != RAFT_LEADER || !is_sending(raft) ||
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -206,6 +206,45 @@
 	EXPECT_TRUE(cluster.run_until_whole(5000)) << cluster.describe();
 }
 
+// An entry of an earlier term on a majority can still be replaced by another
+// leader, so it must not count as committed before one of the own term does.
+TEST_F(Raft, EarlierEntriesAreNotCommittedByCounting)
+{
+	Cluster cluster(1, 3);
+
+	ASSERT_TRUE(cluster.run_until_whole(20000));
+	Node &leader = *cluster.leader();
+	Node &voter = cluster.nodes[(leader.id + 1) % 3];
+	Node &frozen = cluster.nodes[(leader.id + 2) % 3];
+	Aw__RaftMessage msg = AW__RAFT_MESSAGE__INIT;
+	Aw__RaftAppendReply reply = AW__RAFT_APPEND_REPLY__INIT;
+
+	frozen.frozen_until_ms = cluster.now() + 60000;
+	set_cut(cluster, voter.id, true);
+	ASSERT_TRUE(cluster.propose());
+	uint64_t index = raft_last_index(leader.raft);
+
+	cluster.run(3000);
+	ASSERT_EQ(nullptr, cluster.leader());
+	set_cut(cluster, voter.id, false);
+	for (int i = 0; i < 1000 && raft_leader(leader.raft) != leader.name;
+	     i++)
+		cluster.step();
+	ASSERT_EQ(index + 1, raft_last_index(leader.raft));
+	reply.term = raft_term(leader.raft);
+	reply.success = true;
+	reply.match_index = index;
+	reply.round = cluster.now();
+	msg.body_case = AW__RAFT_MESSAGE__BODY_APPEND_REPLY;
+	msg.append_reply = &reply;
+	msg.from_incarnation = voter.incarnation;
+	msg.cluster_id = store_cluster_id(leader.store);
+	EXPECT_EQ(RAFT_OK, raft_receive(leader.raft, voter.name.c_str(), &msg));
+	EXPECT_LT(raft_commit_index(leader.raft), index);
+	frozen.frozen_until_ms = 0;
+	EXPECT_TRUE(cluster.run_until_whole(10000)) << cluster.describe();
+}
+
 // A planned stop must not cost an election timeout.
 TEST_F(Raft, HandoverIsQuick)
 {
