Add a benchmark of the HTTP server and client; sharpen three tests

"make bench" prints the processor time per request with 0, 1,000 and 5,000 idle connections, server and client on a thread each.

Trials on a scratch copy with one rule removed at a time showed three tests that did not notice their fault; each now fails without its rule: - closing after the last byte without waiting for the other end, - closing idle connections at once when draining, - retrying accept() without a pause at the limit of open files.

--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,13 @@
 		-Wno-missing-field-initializers $(SAN) -o $@ $< \
 		$(BUILD)/libalmondward-san.a -lgtest -lgtest_main $(LDLIBS)
 
+$(BUILD)/tests/http_bench: tests/http_bench.c $(BUILD)/libalmondward.a
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+bench: $(BUILD)/tests/http_bench
+	$(BUILD)/tests/http_bench
+
 install-deps:
 	sh .ci/install
 
@@ -105,4 +112,4 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all install-deps format check-format lint tests test check demo proto clean
+.PHONY: all install-deps format check-format lint tests test bench check demo proto clean
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -590,6 +590,7 @@
 		       http_server_connections(s.server) == 2;
 	}));
 	http_server_drain(s.server, true);
+	s.net.run_ms(300);
 	idle.send("GET /2" + H + "\r\n");
 	ASSERT_TRUE(s.net.until([&] { return s.seen.size() == 2; }));
 	for (auto exchange : s.waiting)
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -131,23 +131,27 @@
 	EXPECT_EQ(data.size(), loop_conn_sent_bytes(raw.conn));
 }
 
-// The last bytes must arrive although the other end still sends, which would
-// reset the connection if it was closed with unread data.
+// The last bytes must arrive although the other end still sends and has not
+// read yet: a close with unread data would reset the connection.
 TEST(Loop, CloseAfterSendDeliversEverything)
 {
-	for (int i = 0; i < 20; i++) {
-		Net net;
-		RawServer server(net);
-		std::string data(1 << 20, 'x');
+	Net net;
+	RawServer server(net);
+	std::string data(1 << 20, 'x');
 
-		server.greeting = data;
-		server.close_after_greeting = true;
-		Raw raw(net, server.address());
-		raw.send(std::string(100000, 'y'));
-		ASSERT_TRUE(net.until([&] { return raw.closed; }));
-		ASSERT_EQ(data.size(), raw.received.size());
-		EXPECT_EQ(LOOP_CLOSE_BY_PEER, raw.reason);
+	server.greeting = data;
+	server.close_after_greeting = true;
+	Raw raw(net, server.address());
+	ASSERT_TRUE(net.until([&] { return raw.opened; }));
+	loop_conn_pause(raw.conn, true);
+	for (int i = 0; i < 10; i++) {
+		raw.send(std::string(1000, 'y'));
+		net.run_ms(10);
 	}
+	loop_conn_pause(raw.conn, false);
+	ASSERT_TRUE(net.until([&] { return raw.closed; }));
+	EXPECT_EQ(data.size(), raw.received.size());
+	EXPECT_EQ(LOOP_CLOSE_BY_PEER, raw.reason);
 }
 
 // A graceful shutdown stops listening and keeps what was accepted or has been
@@ -220,7 +224,7 @@
 
 // At the limit of open files nothing crashes or spins, and service goes on
 // once files are closed.
-TEST(Loop, LimitOfOpenFiles)
+static void reach_limit(rlim_t free_files)
 {
 	struct rlimit old, low;
 	Net net;
@@ -232,7 +236,7 @@
 	close(probe);
 	ASSERT_EQ(0, getrlimit(RLIMIT_NOFILE, &old));
 	low = old;
-	low.rlim_cur = (rlim_t)probe + 20;
+	low.rlim_cur = (rlim_t)probe + free_files;
 	ASSERT_EQ(0, setrlimit(RLIMIT_NOFILE, &low));
 	for (int i = 0; i < 40; i++) {
 		struct loop_conn *conn;
@@ -249,17 +253,28 @@
 		raws.push_back(std::move(raw));
 		net.run_ms(1);
 	}
-	EXPECT_LT(raws.size(), 40u);
+	size_t nr_opened = raws.size();
 	clock_t cpu = clock();
 	net.run_ms(300);
-	EXPECT_LT((double)(clock() - cpu) / CLOCKS_PER_SEC, 0.15);
+	cpu = clock() - cpu;
 	raws.clear();
 	server.last.close();
 	net.run_ms(100);
 	server.accepted = 0;
 	Raw again(net, server.address());
-	EXPECT_TRUE(net.until([&] { return server.accepted >= 1; }));
+	bool served = net.until([&] { return server.accepted >= 1; });
+	// Before the checks, since reporting a failure needs files.
 	ASSERT_EQ(0, setrlimit(RLIMIT_NOFILE, &old));
+	EXPECT_LT(nr_opened, 40u);
+	EXPECT_LT((double)cpu / CLOCKS_PER_SEC, 0.15);
+	EXPECT_TRUE(served);
+}
+
+TEST(Loop, LimitOfOpenFiles)
+{
+	// With one of these the last file is missing for accept().
+	reach_limit(20);
+	reach_limit(21);
 }
 
 // libwebsockets sizes its tables by the limit when it starts.
