--- a/almondward/http.h
+++ b/almondward/http.h
@@ -78,6 +78,11 @@
 				   const struct http_server_settings *settings,
 				   http_handler_fn handler, void *arg,
 				   struct http_server **server);
+
+/*
+ * Closes all connections. Every exchange becomes invalid; abort callbacks are
+ * not called.
+ */
 void http_server_destroy(struct http_server *server);
 const char *http_server_address(const struct http_server *server);
 
@@ -98,14 +103,17 @@
 
 /*
  * fn is called when the caller's connection is gone before the response; the
- * exchange and its request are invalid after fn returns.
+ * exchange and its request are invalid after fn returns. To be set before the
+ * handler returns. Without it the exchange stays valid until http_respond().
+ * A caller that closes only its sending side counts as gone.
  */
 void http_exchange_on_abort(struct http_exchange *exchange,
 			    void (*fn)(void *arg), void *arg);
 
 /*
  * Graceful shutdown: stops listening if stop_listening, answers with
- * Connection: close, and closes connections as they become idle.
+ * Connection: close, and closes connections that have been idle for 1 s, so
+ * that a request that is already under way is still served.
  */
 void http_server_drain(struct http_server *server, bool stop_listening);
 
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include <csignal>
+
 #include <netinet/in.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -304,6 +306,22 @@
 	raws.clear();
 }
 
+// A planned stop must reach the process also while it has nothing else to do.
+TEST(Loop, StopSignals)
+{
+	for (int signal : { SIGTERM, SIGINT }) {
+		Net net;
+		int nr = 0;
+
+		ASSERT_EQ(LOOP_OK,
+			  loop_on_stop_signal(
+				  net.loop, [](void *arg) { ++*(int *)arg; },
+				  &nr));
+		raise(signal);
+		EXPECT_TRUE(net.until([&] { return nr == 1; }));
+	}
+}
+
 TEST(Loop, DestroyWithOpenConnectionsCallsNothing)
 {
 	auto net = std::make_unique<Net>();
