Spread slots over servers and keep crashing requests in quarantine

Process tests failed: after the loss or freeze of the near backend server an entry instance held slots only there, and look-ups ended in connect or queue_timeout. Ruled out: retry rules, which allowed the retry; no other server had a held slot. An instance now gets at most three quarters of its slots on one server while others can be had, and free slots that may not be used count as demand.

A request that crashed three servers of a zone cleared itself as a zone failure.

--- a/almondward/alloc_plan.c
+++ b/almondward/alloc_plan.c
@@ -244,10 +244,21 @@
 	return TIER_OTHER;
 }
 
+/*
+ * Slots that an instance may have on one server while others can be had: three
+ * quarters, so that the loss of a server does not take all of them. With fewer
+ * than four, being near counts more.
+ */
+static uint32_t most_on_one_server(const struct plan_instance *instance)
+{
+	return (uint32_t)(instance->quota - instance->quota / 4);
+}
+
 /*
  * Prefers slots that the instance has, then the server with most slots left.
  */
-static bool place_one(struct plan *plan, size_t instance, enum tier tier)
+static bool place_one(struct plan *plan, size_t instance, enum tier tier,
+		      uint32_t most)
 {
 	struct plan_instance *to = &plan->instances[instance];
 	uint32_t *given = plan->given + instance * plan->nr_servers;
@@ -258,7 +269,7 @@
 	for (s = 0; s < plan->nr_servers; s++) {
 		bool kept = given[s] < counted[s];
 
-		if (!plan->servers[s].left ||
+		if (!plan->servers[s].left || given[s] >= most ||
 		    tier_of(to->holder, plan->servers[s].server) != tier)
 			continue;
 		if (best < plan->nr_servers && kept < best_kept)
@@ -277,24 +288,36 @@
 	return true;
 }
 
+/*
+ * One slot for each instance that lacks some; false when there was none.
+ */
+static bool place_round(struct plan *plan, enum tier tier, bool spread)
+{
+	bool placed = false;
+	size_t i;
+
+	for (i = 0; i < plan->nr_instances; i++) {
+		const struct plan_instance *to = &plan->instances[i];
+		uint32_t most = spread ? most_on_one_server(to) : UINT32_MAX;
+
+		if (to->placed < to->quota && place_one(plan, i, tier, most))
+			placed = true;
+	}
+	return placed;
+}
+
 /*
  * Near servers first, one slot at a time so that instances of a zone share it.
+ * What cannot be spread over servers is placed regardless.
  */
 static void place(struct plan *plan, bool cross_region)
 {
-	int last = cross_region ? TIER_OTHER : TIER_REGION, tier;
-	bool placed;
-	size_t i;
+	int last = cross_region ? TIER_OTHER : TIER_REGION, tier, pass;
 
-	for (tier = TIER_ZONE; tier <= last; tier++)
-		do {
-			placed = false;
-			for (i = 0; i < plan->nr_instances; i++)
-				if (plan->instances[i].placed <
-					    plan->instances[i].quota &&
-				    place_one(plan, i, (enum tier)tier))
-					placed = true;
-		} while (placed);
+	for (pass = 0; pass < 2; pass++)
+		for (tier = TIER_ZONE; tier <= last; tier++)
+			while (place_round(plan, (enum tier)tier, pass == 0))
+				;
 }
 
 enum alloc_error alloc_plan(struct alloc_slots *slots,
--- a/almondward/control_status.c
+++ b/almondward/control_status.c
@@ -1,5 +1,7 @@
 #include "control_internal.h"
 
+#include <stdio.h>
+
 #include <cjson/cJSON.h>
 
 /*
@@ -94,13 +96,20 @@
 
 static void add_voters(struct ctl *ctl, cJSON *to)
 {
-	cJSON *list = cJSON_AddArrayToObject(to, "voters");
+	cJSON *list = cJSON_AddArrayToObject(to, "voters"), *item;
 	const Aw__Voter *const *voters;
+	char incarnation[17];
 	size_t nr, i;
 
 	voters = raft_voters(ctl->raft, &nr);
-	for (i = 0; i < nr; i++)
-		cJSON_AddItemToArray(list, cJSON_CreateString(voters[i]->name));
+	for (i = 0; i < nr; i++) {
+		/* JSON numbers lose digits of 64 bits. */
+		snprintf(incarnation, sizeof(incarnation), "%016llx",
+			 (unsigned long long)voters[i]->incarnation);
+		item = add_object(list);
+		cJSON_AddStringToObject(item, "name", voters[i]->name);
+		cJSON_AddStringToObject(item, "incarnation", incarnation);
+	}
 }
 
 static void add_instances(struct ctl *ctl, cJSON *to)
--- a/almondward/entry_queue.c
+++ b/almondward/entry_queue.c
@@ -168,19 +168,32 @@
 	return true;
 }
 
-static bool has_free_slot(struct core *core, const char *upstream)
+static uint32_t free_slots(struct core *core, const char *upstream)
 {
 	struct agent_server *server = NULL;
-	uint32_t held, used;
+	uint32_t held, used, nr = 0;
 
 	while ((server = agent_next_server(core->agent, server))) {
 		if (strcmp(server->upstream, upstream) != 0)
 			continue;
 		agent_slot_count(core->agent, server->address, &held, &used);
 		if (used < held)
-			return true;
+			nr += held - used;
 	}
-	return false;
+	return nr;
+}
+
+/*
+ * Free slots that leave requests waiting are on servers that may not be used
+ * now; the leader has to give others in addition.
+ */
+static void tell_queued(struct core *core, const struct upstream *upstream)
+{
+	uint32_t queued = (uint32_t)queue_length(upstream->queue);
+
+	if (queued)
+		queued += free_slots(core, upstream->name);
+	agent_set_queued(core->agent, upstream->name, queued);
 }
 
 void queue_pump(struct core *core, struct upstream *upstream)
@@ -190,7 +203,7 @@
 	if (!queue_length(upstream->queue))
 		return;
 	while (queue_length(upstream->queue) &&
-	       has_free_slot(core, upstream->name)) {
+	       free_slots(core, upstream->name)) {
 		item = queue_serve(upstream->queue, try_item, core);
 		if (!item)
 			break;
@@ -198,8 +211,7 @@
 			(struct request *)((char *)item -
 					   offsetof(struct request, item)));
 	}
-	agent_set_queued(core->agent, upstream->name,
-			 (uint32_t)queue_length(upstream->queue));
+	tell_queued(core, upstream);
 }
 
 /*
--- a/almondward/quarantine.c
+++ b/almondward/quarantine.c
@@ -191,7 +191,7 @@
  * zone were lost that the zone must have failed.
  */
 static bool zone_failed(const struct quar *quar, const char *zone,
-			uint64_t at_ms, uint64_t *from_ms)
+			uint64_t at_ms, uint64_t *from_ms, size_t *nr_lost)
 {
 	const struct loss *loss;
 
@@ -203,7 +203,8 @@
 		    strcmp(loss->zone, zone) != 0)
 			continue;
 		*from_ms = loss->at_ms;
-		if (losses_within(quar, zone, *from_ms) >= QUAR_ZONE_SERVERS)
+		*nr_lost = losses_within(quar, zone, *from_ms);
+		if (*nr_lost >= QUAR_ZONE_SERVERS)
 			return true;
 	}
 	return false;
@@ -237,23 +238,34 @@
 		set_until(quar, request, now_ms + QUARANTINE_MS);
 }
 
+static bool is_within(const struct suspect *suspect, const char *zone,
+		      uint64_t from_ms)
+{
+	return !strcmp(suspect->zone, zone) && suspect->at_ms >= from_ms &&
+	       suspect->at_ms <= from_ms + QUAR_ZONE_MS;
+}
+
 /*
- * The losses of a failed zone say nothing about the requests that ran there.
+ * The losses of a failed zone say nothing about a request that ran on at most
+ * half of the servers lost. A request that ran on more of them may have caused
+ * them: near servers are preferred, so it crashes several of one zone.
  */
 static void clear_zone(struct quar *quar, const char *zone, uint64_t from_ms,
-		       uint64_t now_ms)
+		       size_t nr_lost, uint64_t now_ms)
 {
 	struct request *request;
 	uint32_t i;
+	size_t nr;
 
 	for (request = quar->requests; request; request = request->hh.next) {
-		for (i = 0; i < request->nr_suspects; i++) {
-			struct suspect *at = &request->suspects[i];
-
-			if (!strcmp(at->zone, zone) && at->at_ms >= from_ms &&
-			    at->at_ms <= from_ms + QUAR_ZONE_MS)
-				at->cleared = true;
-		}
+		nr = 0;
+		for (i = 0; i < request->nr_suspects; i++)
+			nr += is_within(&request->suspects[i], zone, from_ms);
+		if (2 * nr > nr_lost)
+			continue;
+		for (i = 0; i < request->nr_suspects; i++)
+			if (is_within(&request->suspects[i], zone, from_ms))
+				request->suspects[i].cleared = true;
 		judge(quar, request, now_ms);
 	}
 }
@@ -276,6 +288,7 @@
 			   const char *zone)
 {
 	uint64_t now_ms = clk_now_ms(quar->clk), from_ms;
+	size_t nr_lost;
 	struct suspect lost = { 0 };
 	struct request *request;
 
@@ -298,8 +311,8 @@
 		request->last_ms = lost.at_ms;
 	if (note_loss(quar, &lost))
 		return QUAR_ERR_MEMORY;
-	if (zone_failed(quar, zone, lost.at_ms, &from_ms))
-		clear_zone(quar, zone, from_ms, now_ms);
+	if (zone_failed(quar, zone, lost.at_ms, &from_ms, &nr_lost))
+		clear_zone(quar, zone, from_ms, nr_lost, now_ms);
 	judge(quar, request, now_ms);
 	return QUAR_OK;
 }
