--- a/loadgen/run.py
+++ b/loadgen/run.py
@@ -115,7 +115,7 @@
             extra += ["--delay", f"{entry}={round_trip}"]
         server = self.fleet.start_server(upstream, zone, spec["slots"],
                                          spec["work_ms"], extra=extra)
-        server.zone = zone
+
         return server
 
     # ---- events ----
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -408,6 +408,7 @@
         process = Process(f"server-{index}", args, self.dir / f"server-{index}.log")
         process.address = address
         process.relay = link
+        process.zone = zone
         process.upstream = upstream
         process.start()
         self.servers.append(process)
--- a/tests/process_entry.py
+++ b/tests/process_entry.py
@@ -112,8 +112,10 @@
 
 def silent_connections(fleet):
     """Connections that went silent must not cost a look-up its answer."""
-    # In the zone of entry-1, which therefore prefers it; entry-2 and entry-3
-    # are in other regions.
+    # Alone in the zone of entry-1, which therefore prefers it.
+    for near in alive(fleet, "lookup"):
+        if near.zone == "a1":
+            near.kill()
     server = fleet.start_server("lookup", "a1", 7, 5, relay=True)
     fleetlib.wait_until("server behind the relay works", lambda: (
         [serving(fleet, "entry-1") for _ in range(10)] and
