--- a/almondward/peer.c
+++ b/almondward/peer.c
@@ -9,6 +9,7 @@
 
 #include "frame.h"
 #include "log.h"
+#include "peer_queue.h"
 
 #define PART "peer"
 #define HELLO_VERSION 1
@@ -17,10 +18,6 @@
 #define RECONNECT_MAX_MS 1000
 /* Connections that have not authenticated themselves yet. */
 #define STRANGERS_MAX 64
-/* Twice the largest frame: more waits only if the other end does not read. */
-#define QUEUE_BYTES_MAX (2 * (size_t)FRAME_BODY_BYTES_MAX + 65536)
-/* Larger frames are sent in parts of this size. */
-#define PART_BYTES 131072
 /* A ping timer that is this late shows that the process did not run. */
 #define FROZEN_MS 1000
 
@@ -46,11 +43,6 @@
 	struct peer_target *next;
 };
 
-struct peer_pending {
-	struct frame_out *frame;
-	struct peer_pending *next;
-};
-
 struct peer_link {
 	struct peer_node *node;
 	struct peer_target *target; /* NULL: accepted */
@@ -58,11 +50,8 @@
 	struct loop_timer *timer;
 	enum link_state state;
 	struct frame_reader *reader;
-	struct frame_writer writer;
+	struct peer_queue *queue;
 	struct buf own_hello; /* packed */
-	struct peer_pending *pending; /* frames that are sent in parts */
-	size_t pending_bytes;
-	struct loop_timer *send_timer;
 	uint64_t received_ms;
 	uint64_t ticked_ms;
 	char name[NAME_BYTES_MAX];
@@ -107,22 +96,11 @@
 
 /* ---- closing ---- */
 
-static void pop_pending(struct peer_link *link)
-{
-	struct peer_pending *pending = link->pending;
-
-	LL_DELETE(link->pending, pending);
-	frame_out_destroy(pending->frame);
-	free(pending);
-}
-
 static void link_free(struct peer_link *link)
 {
-	while (link->pending)
-		pop_pending(link);
 	frame_reader_destroy(link->reader);
 	buf_release(&link->own_hello);
-	sodium_memzero(&link->writer, sizeof(link->writer));
+	peer_queue_destroy(link->queue);
 	free(link);
 }
 
@@ -140,10 +118,9 @@
 	if (link->conn)
 		loop_conn_close(link->conn);
 	link->conn = NULL;
+	peer_queue_set_conn(link->queue, NULL);
 	loop_timer_destroy(link->timer);
-	loop_timer_destroy(link->send_timer);
 	link->timer = NULL;
-	link->send_timer = NULL;
 	DL_DELETE(link->node->links, link);
 	if (link->target)
 		link->target->link = NULL;
@@ -178,88 +155,11 @@
 
 /* ---- sending ---- */
 
-/*
- * Sends the next part of a large frame. The next one follows when this is sent,
- * at the earliest in the next turn of the loop.
- */
-static void send_part(void *arg)
-{
-	struct peer_link *link = arg;
-	enum loop_error err;
-	const uint8_t *part;
-	size_t part_bytes;
-
-	if (!link->pending || loop_conn_queued_bytes(link->conn))
-		return;
-	part = frame_out_next(link->pending->frame, PART_BYTES, &part_bytes);
-	link->pending_bytes -= part_bytes;
-	err = loop_conn_send(link->conn, part, part_bytes);
-	if (err == LOOP_ERR_MEMORY) {
-		link_close(link, "memory");
-		return;
-	}
-	if (!frame_out_left_bytes(link->pending->frame))
-		pop_pending(link);
-	if (!err && link->pending && !loop_conn_queued_bytes(link->conn))
-		loop_timer_set(link->send_timer, 0);
-}
-
-static enum loop_error send_in_parts(struct peer_link *link,
-				     const Aw__Frame *frame)
-{
-	struct peer_pending *pending = calloc(1, sizeof(*pending));
-
-	if (!pending)
-		return LOOP_ERR_MEMORY;
-	if (frame_out_create(&link->writer, frame, &pending->frame)) {
-		free(pending);
-		return LOOP_ERR_MEMORY;
-	}
-	link->pending_bytes +=
-		frame_out_left_bytes(pending->frame) + FRAME_MAC_BYTES;
-	LL_APPEND(link->pending, pending);
-	if (link->pending == pending)
-		loop_timer_set(link->send_timer, 0);
-	return LOOP_OK;
-}
-
-static enum loop_error send_whole(struct peer_link *link,
-				  const Aw__Frame *frame)
-{
-	struct buf out = BUF_INIT;
-	enum loop_error err = LOOP_ERR_MEMORY;
-
-	if (frame_write(&link->writer, frame, &out) == FRAME_OK) {
-		err = loop_conn_send(link->conn, out.data, out.len_bytes);
-		/* Not sent at all: the next frame takes its sequence. */
-		if (err == LOOP_ERR_MEMORY)
-			link->writer.sequence--;
-	}
-	buf_release(&out);
-	return err;
-}
-
-static enum loop_error send_frame(struct peer_link *link,
-				  const Aw__Frame *frame)
-{
-	size_t packed_bytes = aw__frame__get_packed_size(frame);
-
-	if (!link->conn)
-		return LOOP_ERR_CLOSED;
-	if (loop_conn_queued_bytes(link->conn) + link->pending_bytes +
-		    packed_bytes >
-	    QUEUE_BYTES_MAX)
-		return LOOP_ERR_MEMORY;
-	if (link->pending || packed_bytes > PART_BYTES)
-		return send_in_parts(link, frame);
-	return send_whole(link, frame);
-}
-
 enum loop_error peer_send(struct peer_link *link, const Aw__Frame *frame)
 {
 	if (link->dead || link->state != LINK_UP)
 		return LOOP_ERR_CLOSED;
-	return send_frame(link, frame);
+	return peer_queue_send(link->queue, frame);
 }
 
 static enum loop_error send_ping(struct peer_link *link)
@@ -271,7 +171,7 @@
 	ping.term = link->node->term;
 	frame.body_case = AW__FRAME__BODY_PING;
 	frame.ping = &ping;
-	return send_frame(link, &frame);
+	return peer_queue_send(link->queue, &frame);
 }
 
 static int send_hello(struct peer_link *link)
@@ -295,7 +195,7 @@
 		return -1;
 	link->own_hello.len_bytes =
 		aw__frame__pack(&frame, link->own_hello.data);
-	return send_frame(link, &frame) ? -1 : 0;
+	return peer_queue_send(link->queue, &frame) ? -1 : 0;
 }
 
 /* ---- receiving ---- */
@@ -343,7 +243,7 @@
 	const struct buf *own = &link->own_hello;
 	bool caller = link->target != NULL;
 	struct buf hellos = BUF_INIT;
-	struct frame_key key;
+	struct frame_key own_key, key;
 	int ret = -1;
 
 	/* First that of the end that connected. */
@@ -353,11 +253,13 @@
 		goto out;
 	if (!caller && append_sized(&hellos, own->data, own->len_bytes))
 		goto out;
-	frame_derive_key(&link->writer.key, node->secret, node->secret_bytes,
+	frame_derive_key(&own_key, node->secret, node->secret_bytes,
 			 caller ? "connector" : "acceptor", &hellos);
 	frame_derive_key(&key, node->secret, node->secret_bytes,
 			 caller ? "acceptor" : "connector", &hellos);
 	frame_reader_set_key(link->reader, &key, FRAME_BODY_BYTES_MAX);
+	peer_queue_set_key(link->queue, &own_key);
+	sodium_memzero(&own_key, sizeof(own_key));
 	sodium_memzero(&key, sizeof(key));
 	ret = 0;
 
@@ -492,7 +394,7 @@
 static void on_drained(void *arg, struct loop_conn *conn)
 {
 	(void)conn;
-	send_part(arg);
+	peer_queue_drained(((struct peer_link *)arg)->queue);
 }
 
 static void on_closed(void *arg, struct loop_conn *conn, enum loop_close reason)
@@ -538,6 +440,11 @@
 		send_ping(link);
 }
 
+static void on_lost(void *arg)
+{
+	link_close(arg, "memory");
+}
+
 static struct peer_link *link_create(struct peer_node *node)
 {
 	struct peer_link *link = calloc(1, sizeof(*link));
@@ -545,14 +452,13 @@
 	if (!link)
 		return NULL;
 	link->node = node;
-	link->writer.key = node->hello_key;
 	link->reader =
 		frame_reader_create(&node->hello_key, FRAME_HELLO_BYTES_MAX);
 	link->timer = loop_timer_create(node->loop, on_tick, link);
-	link->send_timer = loop_timer_create(node->loop, send_part, link);
-	if (!link->reader || !link->timer || !link->send_timer) {
+	link->queue =
+		peer_queue_create(node->loop, &node->hello_key, on_lost, link);
+	if (!link->reader || !link->timer || !link->queue) {
 		loop_timer_destroy(link->timer);
-		loop_timer_destroy(link->send_timer);
 		link_free(link);
 		return NULL;
 	}
@@ -589,6 +495,7 @@
 		return;
 	}
 	link->conn = conn;
+	peer_queue_set_conn(link->queue, conn);
 	loop_conn_set_ops(conn, &link_ops, link);
 	on_opened(link, conn);
 }
@@ -608,6 +515,8 @@
 	if (loop_connect(node->loop, target->address, PEER_SILENT_MS, &link_ops,
 			 link, &link->conn))
 		link_end(link);
+	else
+		peer_queue_set_conn(link->queue, link->conn);
 }
 
 /* ---- node ---- */
