Avoid servers that fail and ask for slots elsewhere

Process tests with the control role showed two failures of one cause: all slots of an instance were at one server of its zone, so that after the death or freeze of that server a retry went to it again (502 connect) or no other slot became free in time (503 queue_timeout).

A server now counts as failing for 1 s after a connection to it could not be made, broke or went silent while it completed nothing else. A retry waits up to half of queue_wait_ms for a slot at another server before it takes a failing one, and the free slots of failing and ejected servers count as demand, so that the leader gives slots elsewhere.

The new unit test was seen failing first.

--- a/almondward/agent_internal.h
+++ b/almondward/agent_internal.h
@@ -198,6 +198,12 @@
 		       uint64_t but_incarnation);
 void slots_destroy(struct agent *agent);
 
+/*
+ * Free slots at servers that fail or are ejected. They count as demand, since
+ * the leader would otherwise take them for enough.
+ */
+uint32_t slots_unusable(struct agent *agent, const char *upstream);
+
 /* agent_servers.c */
 void servers_apply(struct agent *agent, const Aw__Grant *grant);
 void servers_confirm(struct agent *agent, uint64_t sequence);
--- a/almondward/agent_report.c
+++ b/almondward/agent_report.c
@@ -171,7 +171,8 @@
 
 		aw__slot_demand__init(to);
 		to->upstream = demand->upstream;
-		to->in_use = demand->used_peak;
+		to->in_use = demand->used_peak +
+			     slots_unusable(agent, demand->upstream);
 		to->queued = demand->queued_peak;
 		demand->used_peak = demand->used;
 		demand->queued_peak = demand->queued;
--- a/almondward/agent_slots.c
+++ b/almondward/agent_slots.c
@@ -169,6 +169,26 @@
 	*used = slot ? slot->used : 0;
 }
 
+uint32_t slots_unusable(struct agent *agent, const char *upstream)
+{
+	uint64_t now_ms = clk_now_ms(agent->clk);
+	struct agent_slot *slot, *next;
+	struct agent_server *server;
+	uint32_t unusable = 0;
+
+	HASH_ITER(hh, agent->slots, slot, next)
+	{
+		server = agent_server(agent, slot->key.address);
+		if (!server || strcmp(server->upstream, upstream) != 0 ||
+		    slot->target <= slot->used)
+			continue;
+		if (server->stats.failing_until_ms > now_ms ||
+		    server->stats.ejected_until_ms > now_ms)
+			unusable += slot->target - slot->used;
+	}
+	return unusable;
+}
+
 void agent_set_queued(struct agent *agent, const char *upstream,
 		      uint32_t queued)
 {
--- a/almondward/entry_dispatch.c
+++ b/almondward/entry_dispatch.c
@@ -269,6 +269,22 @@
 
 /* ---- judgement of servers ---- */
 
+/*
+ * For failures that say that the process or the way to it is lost.
+ */
+static void note_failing(struct request *request)
+{
+	struct core *core = request->core;
+	struct agent_server *server =
+		agent_server(core->agent, request->attempt.address);
+
+	if (!server || server->incarnation != request->attempt.incarnation)
+		return;
+	server->stats.failing_until_ms = core_now_ms(core) + ROUTE_FAILING_MS;
+	/* Its slots are of no use, so the leader is asked for others. */
+	agent_report_soon(core->agent);
+}
+
 static void note_failure(struct request *request)
 {
 	struct core *core = request->core;
@@ -395,6 +411,7 @@
 		core->agent, request->fingerprint, request->attempt.address,
 		request->attempt.incarnation);
 	note_failure(request);
+	note_failing(request);
 	if (deny_reason(request)) {
 		retry_or_refuse(request, "lost",
 				"the connection broke after dispatch");
@@ -423,6 +440,19 @@
 	retry_or_refuse(request, "lost", "the connection broke after dispatch");
 }
 
+/*
+ * True if the server has completed a response since this attempt was sent: it
+ * is then slow with this request only.
+ */
+static bool answered_since(const struct request *request)
+{
+	const struct agent_server *server =
+		agent_server(request->core->agent, request->attempt.address);
+
+	return server &&
+	       server->stats.latency_at_ms * 1000 > request->attempt.sent_us;
+}
+
 void dispatch_check_silent(struct request *request)
 {
 	struct attempt *attempt = &request->attempt;
@@ -432,6 +462,8 @@
 		return;
 	/* Looked at again later: a slot elsewhere may become free. */
 	attempt->silent_at_ms = now_ms + 100;
+	if (!answered_since(request))
+		note_failing(request);
 	if (deny_reason(request) || !queue_has_other(request))
 		return;
 	if (!take_retry(request, "silent")) {
@@ -504,6 +536,7 @@
 		return;
 	}
 	note_failure(request);
+	note_failing(request);
 	retry_or_refuse(request, "connect", "no connection could be made");
 }
 
--- a/almondward/entry_queue.c
+++ b/almondward/entry_queue.c
@@ -98,6 +98,12 @@
 		.draw_permille = request->draw_permille,
 	};
 
+	question.last_resort =
+		request->step == STEP_QUEUE &&
+		question.now_ms + request->policies.value[CFG_QUEUE_WAIT_MS] /
+					  2 >=
+			request->wait_until_ms;
+
 	if (!queue_candidates(request))
 		return -1;
 	return route_choose(core->candidates, core->nr_candidates, &question,
--- a/almondward/route.c
+++ b/almondward/route.c
@@ -91,6 +91,7 @@
 			 uint64_t now_ms)
 {
 	stats->failures = 0;
+	stats->failing_until_ms = 0;
 	stats->latency_at_ms = now_ms;
 	if (!stats->latency_us) {
 		stats->latency_us = latency_us;
@@ -119,6 +120,7 @@
 	[ROUTE_FARTHER] = "farther",
 	[ROUTE_SLOWER] = "slower",
 	[ROUTE_TRIED] = "tried",
+	[ROUTE_FAILING] = "failing",
 };
 
 const char *route_verdict_name(enum route_verdict verdict)
@@ -227,6 +229,18 @@
 	return latency_us * (candidate->used_slots + 1);
 }
 
+/*
+ * What makes a server the last choice, or ROUTE_CHOSEN.
+ */
+static enum route_verdict fault_of(const struct route_candidate *candidate,
+				   uint64_t now_ms)
+{
+	if (candidate->tried)
+		return ROUTE_TRIED;
+	return candidate->stats.failing_until_ms > now_ms ? ROUTE_FAILING :
+							    ROUTE_CHOSEN;
+}
+
 /*
  * Returns what is against a in comparison with b, or ROUTE_CHOSEN. A server
  * that sheds load is avoided by first attempts too while another is free.
@@ -237,9 +251,11 @@
 {
 	bool a_sheds = a->stats.shed_until_ms > now_ms;
 	bool b_sheds = b->stats.shed_until_ms > now_ms;
+	enum route_verdict a_fault = fault_of(a, now_ms);
+	enum route_verdict b_fault = fault_of(b, now_ms);
 
-	if (a->tried != b->tried)
-		return a->tried ? ROUTE_TRIED : ROUTE_CHOSEN;
+	if (a_fault != b_fault && (!a_fault || !b_fault))
+		return a_fault;
 	if (a_sheds != b_sheds)
 		return a_sheds ? ROUTE_SHEDDING : ROUTE_CHOSEN;
 	if (a->group != b->group)
@@ -291,6 +307,7 @@
 {
 	struct route_question relaxed = *question;
 	struct summary summary;
+	enum route_verdict fault = ROUTE_CHOSEN;
 	struct floor floor;
 	int best;
 
@@ -302,12 +319,22 @@
 		best = choose(candidates, nr, &relaxed, &floor, &summary,
 			      verdicts);
 	}
-	if (summary.ejected && !summary.waits &&
-	    (best < 0 || candidates[best].tried)) {
+	if (best >= 0)
+		fault = fault_of(&candidates[best], question->now_ms);
+	if (summary.ejected && (!summary.waits || question->last_resort) &&
+	    (best < 0 || fault)) {
 		/* An ejection is a judgement, a failure just now a fact. */
 		floor.use_ejected = true;
 		best = choose(candidates, nr, &relaxed, &floor, &summary,
 			      verdicts);
+		fault = best < 0 ?
+				ROUTE_CHOSEN :
+				fault_of(&candidates[best], question->now_ms);
 	}
-	return best;
+	if (!fault || !summary.waits || question->last_resort)
+		return best;
+	/* Another server may have a slot soon. */
+	if (verdicts)
+		verdicts[best] = fault;
+	return -1;
 }
--- a/almondward/route.h
+++ b/almondward/route.h
@@ -37,6 +37,7 @@
 	uint32_t failures; /* consecutive */
 	uint64_t ejected_until_ms;
 	uint64_t shed_until_ms; /* its Retry-After */
+	uint64_t failing_until_ms; /* refuses connections or is silent */
 };
 
 void route_stats_success(struct route_stats *stats, uint64_t latency_us,
@@ -80,7 +81,8 @@
 	ROUTE_NO_LINK_TOKENS,
 	ROUTE_FARTHER,
 	ROUTE_SLOWER,
-	ROUTE_TRIED
+	ROUTE_TRIED,
+	ROUTE_FAILING
 };
 
 const char *route_verdict_name(enum route_verdict verdict);
@@ -89,12 +91,21 @@
 	uint64_t now_ms;
 	bool cross_region; /* policy allows other regions */
 	bool retry; /* servers that shed load get no retries */
+	/* Rather a server that fails than waiting any longer. */
+	bool last_resort;
 	/* Servers that are drained more are left out. */
 	uint32_t draw_permille;
 };
 
 #define ROUTE_DRAW_MAX 999
 
+/*
+ * How long a server counts as failing after a connection to it could not be
+ * made, broke or went silent. The leader knows of a dead one after
+ * SERVER_SILENT_MS.
+ */
+#define ROUTE_FAILING_MS 1000
+
 /*
  * Chooses a server. Returns its position or -1; verdicts, if not NULL, has
  * room for nr. A partly drained server is used for the moved share too while
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -303,6 +303,46 @@
 	}
 }
 
+// Seen with real processes: the slots of this instance were all at one server;
+// when that died, the retry went to it again and the caller got 502 connect.
+TEST(Dispatch, RetryWaitsForSlotsAtAnotherServer)
+{
+	for (bool granted : { true, false }) {
+		CoreFake f;
+		f.a.lead();
+		AgentFake::GrantParts parts = f.usual(0);
+		parts.slot("s1", 1, 7);
+		f.a.grant(parts);
+		Caller &caller = f.look();
+		f.end(f.last(), HTTP_CONNECT_FAILED);
+		EXPECT_FALSE(caller.answered);
+		EXPECT_EQ(1u, f.backends.size());
+		// The free slots of the failing server count as demand, in
+		// addition to the peak of one.
+		f.pass(10);
+		ASSERT_EQ(1u, f.a.report()->n_demands);
+		EXPECT_EQ(8u, f.a.report()->demands[0]->in_use);
+		EXPECT_EQ(1u, f.a.report()->demands[0]->queued);
+		// Others avoid the failing server as well.
+		f.look();
+		EXPECT_EQ(1u, f.backends.size());
+		if (granted) {
+			AgentFake::GrantParts more;
+			more.slot("s2", 1, 2);
+			f.a.grant(more);
+			EXPECT_EQ(3u, f.backends.size());
+			EXPECT_EQ("s2", f.last()->address);
+			continue;
+		}
+		// Without other slots the server is tried again in the end.
+		f.pass(470);
+		EXPECT_EQ(1u, f.backends.size());
+		f.pass(60);
+		EXPECT_EQ(3u, f.backends.size());
+		EXPECT_EQ("s1", f.last()->address);
+	}
+}
+
 // Late or crossed responses must not reach the caller.
 TEST(Dispatch, RefusesCrossedResponses)
 {
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -209,7 +209,7 @@
 {
 	std::vector<struct route_candidate> list(3, candidate(ROUTE_SAME_ZONE));
 	std::vector<enum route_verdict> verdicts(3);
-	struct route_question question = { 1000, false, false, 999 };
+	struct route_question question = { 1000, false, false, false, 999 };
 	auto choose = [&] {
 		return route_choose(list.data(), list.size(), &question,
 				    verdicts.data());
@@ -257,7 +257,7 @@
 {
 	struct route_candidate list[2] = { candidate(ROUTE_SAME_ZONE),
 					   candidate(ROUTE_SAME_REGION) };
-	struct route_question question = { 0, false, false, 0 };
+	struct route_question question = { 0, false, false, false, 0 };
 
 	list[0].drained_permille = 300;
 	list[1].used_slots = 2;
@@ -279,7 +279,7 @@
 // a server that announced that it leaves is never used.
 TEST(Choice, KeepsTheFloorOfHalf)
 {
-	struct route_question question = { 1000, false, false, 999 };
+	struct route_question question = { 1000, false, false, false, 999 };
 
 	for (size_t nr = 1; nr <= 8; nr++) {
 		std::vector<struct route_candidate> list(
@@ -311,7 +311,7 @@
 {
 	struct route_candidate list[2] = { candidate(ROUTE_SAME_ZONE),
 					   candidate(ROUTE_SAME_ZONE) };
-	struct route_question question = { 1000, false, true, 999 };
+	struct route_question question = { 1000, false, true, false, 999 };
 	enum route_verdict verdicts[2];
 
 	list[1].stats.ejected_until_ms = 2000;
