Report at once when the leader has news

A Grant with sequence 0 from the leader now asks for a report at once and gives nothing itself. The control side does not send it yet, so the case is open.

The check that nobody asks for link tokens after the queue is empty looked at one report only and passed with the fault put back; it now looks at all of them and was seen failing. The new test was seen failing first.

--- a/almondward/agent.c
+++ b/almondward/agent.c
@@ -295,6 +295,12 @@
 {
 	uint64_t sent_ms = 0;
 
+	/* Answers no report: the leader has news and asks for one. */
+	if (!grant->sequence) {
+		agent_report_soon(agent);
+		agent_flush(agent);
+		return;
+	}
 	if (!grant_is_next(agent, grant) ||
 	    !take_sent(agent, grant->sequence, &sent_ms)) {
 		ctr_add(agent->grants_ignored, 1);
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -441,6 +441,33 @@
 	EXPECT_FALSE(agent_quarantined(a.agent, fingerprint));
 }
 
+// A quarantine or a withdrawal must not wait for the next periodic report.
+TEST(Agent, GrantWithoutSequenceAsksForAReport)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+	Aw__Grant hint = AW__GRANT__INIT;
+	Aw__Frame frame = AW__FRAME__INIT;
+
+	a.lead();
+	parts.with_state = true;
+	a.grant(parts);
+	a.pass(50);
+	a.grant(AgentFake::GrantParts());
+	a.clear();
+	hint.term = 1;
+	hint.lease_ms = FLEET_LEASE_MS;
+	frame.body_case = AW__FRAME__BODY_GRANT;
+	frame.grant = &hint;
+	agent_frame(a.agent, "c2", &frame);
+	EXPECT_EQ(0u, a.sent.size());
+	agent_frame(a.agent, "c1", &frame);
+	EXPECT_EQ(1u, a.sent.size());
+	// It gives nothing itself.
+	clk_advance_ms(a.clk, FLEET_LEASE_MS - 30);
+	EXPECT_FALSE(agent_lease_ok(a.agent));
+}
+
 static void note_result(void *arg, const Aw__OpResult *result, bool sent)
 {
 	*(int *)arg = result ? (int)result->code : sent ? -1 : -2;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -633,9 +633,13 @@
 			  caller.refusal);
 		EXPECT_TRUE(caller.not_run);
 		// Nobody waits any more, so no link tokens are asked for.
-		f.pass(1000);
-		for (size_t i = 0; i < f.a.report()->n_tokens; i++)
-			EXPECT_EQ(0u, f.a.report()->tokens[i]->wanted);
+		f.pass_leased(500);
+		f.a.clear();
+		f.pass_leased(500);
+		for (Aw__Frame *frame : f.a.sent) {
+			for (size_t i = 0; i < frame->report->n_tokens; i++)
+				EXPECT_EQ(0u, frame->report->tokens[i]->wanted);
+		}
 	}
 }
 
