Tell entry instances of news at once; retry past dead servers

A request that crashes servers cost four of six servers when it was sent to another instance every 100 ms: the quarantine reached the other instances with their next Report, up to 500 ms later. Ruled out: the count at the leader, which was right after the second crash. The leader now sends a Grant with sequence 0 when state or table change.

A look-up failed with 502 connect when its first attempt went silent and the second met a dead server: connections that could not be made used up attempts, and a server counted as failing for 1 s while the leader needs 3 s to know.

--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -1062,9 +1062,12 @@
 {
   ProtobufCMessage base;
   /*
-   * of the report that it answers
+   * of the report that it answers; 0: gives
    */
   uint64_t sequence;
+  /*
+   * nothing, asks for a report at once
+   */
   uint64_t term;
   /*
    * from the sending of the report
--- a/almondward/control.c
+++ b/almondward/control.c
@@ -14,6 +14,7 @@
 #define STOP_LEADER_MS 3000 /* the handover of leadership likewise */
 #define STOP_LINGER_MS 100 /* for messages that are on their way out */
 #define STEPS_MAX 64
+#define NEWS_INTERVAL_MS 20 /* so that a series of changes is told once */
 
 #define OPERATOR_BODY_BYTES_MAX ((size_t)8 * 1024 * 1024)
 #define OPERATOR_CONNECTIONS_MAX 256
@@ -290,6 +291,41 @@
 		ctl_count(ctl, "send_failed", "grant");
 }
 
+/*
+ * Asks the entry instances to report at once when there is something new for
+ * them: a withdrawn key, a quarantined request or a server that leaves should
+ * not wait for the next periodic Report.
+ */
+static void tell_news(struct ctl *ctl)
+{
+	uint64_t now_ms = clk_now_ms(ctl->clk);
+	uint64_t state_version = fleet_state_version(ctl->fleet);
+	uint64_t table_version = soft_table_version(ctl->soft);
+	Aw__Frame frame = AW__FRAME__INIT;
+	Aw__Grant grant = AW__GRANT__INIT;
+	struct ctl_link *at;
+
+	if (ctl->told_state_version == state_version &&
+	    ctl->told_table_version == table_version)
+		return;
+	if (now_ms < ctl->told_ms + NEWS_INTERVAL_MS)
+		return;
+	ctl->told_ms = now_ms;
+	ctl->told_state_version = state_version;
+	ctl->told_table_version = table_version;
+	grant.term = ctl->soft_term;
+	frame.body_case = AW__FRAME__BODY_GRANT;
+	frame.grant = &grant;
+	DL_FOREACH(ctl->links, at)
+	{
+		if (peer_link_role(at->link) != AW__ROLE__ROLE_ENTRY)
+			continue;
+		if (peer_send(at->link, &frame))
+			ctl_count(ctl, "send_failed", "news");
+	}
+	ctl_count(ctl, "news", "");
+}
+
 static void on_frame(void *arg, struct peer_link *link, const Aw__Frame *frame)
 {
 	struct ctl *ctl = arg;
@@ -372,6 +408,8 @@
 			     raft_term(ctl->raft));
 	ctl_calls_expire(ctl);
 	set_gauges(ctl, leads);
+	if (leads)
+		tell_news(ctl);
 	if (ctl->stop_ms)
 		run_stop(ctl, leads);
 	else if (leads)
--- a/almondward/control_internal.h
+++ b/almondward/control_internal.h
@@ -77,6 +77,9 @@
 	bool lost; /* leadership was lost since the last check */
 	Aw__FleetState *state; /* cached, for entry instances */
 	uint64_t state_version;
+	uint64_t told_ms; /* when entry instances were last told of news */
+	uint64_t told_state_version;
+	uint64_t told_table_version;
 	size_t steps_pending;
 	uint64_t steps_ms; /* when the last drain steps were applied */
 	uint64_t stop_ms; /* when the stop was asked for, 0: not */
--- a/almondward/entry_dispatch.c
+++ b/almondward/entry_dispatch.c
@@ -123,6 +123,7 @@
 	if (request->server_left)
 		return false;
 	attempt->byte_left = true;
+	request->nr_sent++;
 	attempt->sent_us = clk_now_us(core->clk);
 	if (request->idempotent)
 		attempt->silent_at_ms = core_now_ms(core) + total_ms / 3;
@@ -350,7 +351,9 @@
 {
 	if (request->byte_left && !request->idempotent)
 		return "non_idempotent";
-	if (request->nr_attempts >= request->policies.value[CFG_ATTEMPTS_MAX])
+	/* An attempt of which no byte left cost the backend servers nothing. */
+	if (request->nr_sent >= request->policies.value[CFG_ATTEMPTS_MAX] ||
+	    request->nr_attempts >= ATTEMPTS_MAX)
 		return "attempts";
 	if (core_now_ms(request->core) >= request->deadline_ms)
 		return "deadline";
--- a/almondward/entry_internal.h
+++ b/almondward/entry_internal.h
@@ -83,6 +83,7 @@
 	uint32_t weight;
 	uint32_t draw_permille;
 	uint32_t nr_attempts;
+	uint32_t nr_sent; /* attempts of which a byte left */
 	uint32_t nr_tried;
 	uint32_t nr_crashes;
 	bool open;
--- a/almondward/entry_queue.c
+++ b/almondward/entry_queue.c
@@ -174,32 +174,19 @@
 	return true;
 }
 
-static uint32_t free_slots(struct core *core, const char *upstream)
+static bool has_free_slot(struct core *core, const char *upstream)
 {
 	struct agent_server *server = NULL;
-	uint32_t held, used, nr = 0;
+	uint32_t held, used;
 
 	while ((server = agent_next_server(core->agent, server))) {
 		if (strcmp(server->upstream, upstream) != 0)
 			continue;
 		agent_slot_count(core->agent, server->address, &held, &used);
 		if (used < held)
-			nr += held - used;
+			return true;
 	}
-	return nr;
-}
-
-/*
- * Free slots that leave requests waiting are on servers that may not be used
- * now; the leader has to give others in addition.
- */
-static void tell_queued(struct core *core, const struct upstream *upstream)
-{
-	uint32_t queued = (uint32_t)queue_length(upstream->queue);
-
-	if (queued)
-		queued += free_slots(core, upstream->name);
-	agent_set_queued(core->agent, upstream->name, queued);
+	return false;
 }
 
 void queue_pump(struct core *core, struct upstream *upstream)
@@ -209,7 +196,7 @@
 	if (!queue_length(upstream->queue))
 		return;
 	while (queue_length(upstream->queue) &&
-	       free_slots(core, upstream->name)) {
+	       has_free_slot(core, upstream->name)) {
 		item = queue_serve(upstream->queue, try_item, core);
 		if (!item)
 			break;
@@ -217,7 +204,8 @@
 			(struct request *)((char *)item -
 					   offsetof(struct request, item)));
 	}
-	tell_queued(core, upstream);
+	agent_set_queued(core->agent, upstream->name,
+			 (uint32_t)queue_length(upstream->queue));
 }
 
 /*
--- a/almondward/route.h
+++ b/almondward/route.h
@@ -101,10 +101,9 @@
 
 /*
  * How long a server counts as failing after a connection to it could not be
- * made, broke or went silent. The leader knows of a dead one after
- * SERVER_SILENT_MS.
+ * made, broke or went silent: until the leader knows whether it is dead.
  */
-#define ROUTE_FAILING_MS 1000
+#define ROUTE_FAILING_MS SERVER_SILENT_MS
 
 /*
  * Chooses a server. Returns its position or -1; verdicts, if not NULL, has
