--- a/loadgen/run.py
+++ b/loadgen/run.py
@@ -112,7 +112,7 @@
         for entry in self.fleet.entry_names:
             round_trip = 2 * delay_ms(self.scenario, zone,
                                       self.fleet.zone_of[entry])
-            extra += ["--delay", f"{entry}={round_trip}"]
+            extra += ["--delay", f"{entry}={round(round_trip)}"]
         server = self.fleet.start_server(upstream, zone, spec["slots"],
                                          spec["work_ms"], extra=extra)
 
