--- a/loadgen/loadgen.c
+++ b/loadgen/loadgen.c
@@ -39,6 +39,7 @@
 #define DRAIN_MS 6000 /* after the end, for answers under way */
 #define ANSWER_BYTES_MAX (64 << 20)
 #define RANDOM_BLOCK 1024
+#define TARGETS_TRIED 3 /* instances that a caller tries, one after the other */
 
 struct reason {
 	char name[REASON_BYTES];
@@ -62,6 +63,7 @@
 	uint64_t ok;
 	uint64_t late; /* answered right but after the deadline */
 	uint64_t answer_bytes;
+	uint64_t moved; /* sent to another target after a failed connection */
 	uint32_t *latency_us;
 	size_t nr_latencies;
 	size_t size_latencies;
@@ -93,6 +95,7 @@
 	uint64_t start_us;
 	uint64_t duration_us;
 	uint64_t serial;
+	uint64_t turn;
 	uint64_t in_flight;
 	uint8_t *body;
 };
@@ -103,6 +106,7 @@
 	struct target *target;
 	struct http_conn *conn;
 	uint64_t due_us;
+	uint32_t tried;
 	char path[300];
 	char idempotency_key[64];
 	struct http_header headers[3];
@@ -228,6 +232,51 @@
 	return conn;
 }
 
+static void call_done(void *arg, struct http_conn *conn,
+		      const struct http_outcome *outcome);
+
+/*
+ * Sends on a connection to the next target. Callers have several instances
+ * from a look-up and use the next one when a connection cannot be made.
+ */
+static bool send_to_next(struct call *call)
+{
+	struct load *load = call->load;
+	const struct stream *stream = call->stream;
+	struct http_call http = {
+		.method = stream->method,
+		.target = call->path,
+		.headers = call->headers,
+		.body = load->body,
+		.body_bytes = stream->body_bytes,
+		.answer_max_bytes = ANSWER_BYTES_MAX,
+		.timeout_ms = stream->deadline_ms + 2000,
+		.done = call_done,
+		.arg = call,
+	};
+
+	load->turn++;
+	call->tried++;
+	call->target = &load->targets[load->turn % load->nr_targets];
+	call->headers[http.nr_headers++] =
+		(struct http_header){ "Host", call->target->address };
+	if (*stream->authorization)
+		call->headers[http.nr_headers++] =
+			(struct http_header){ "Authorization",
+					      stream->authorization };
+	if (!stream->idempotent)
+		call->headers[http.nr_headers++] =
+			(struct http_header){ "Idempotency-Key",
+					      call->idempotency_key };
+	call->conn = take_connection(load, call->target);
+	if (!call->conn)
+		return false;
+	if (!http_conn_call(call->conn, &http))
+		return true;
+	http_conn_destroy(call->conn);
+	return false;
+}
+
 static void call_done(void *arg, struct http_conn *conn,
 		      const struct http_outcome *outcome)
 {
@@ -236,6 +285,17 @@
 	uint64_t now_us = clk_now_us(call->load->clk);
 	uint64_t latency_us = now_us - call->due_us;
 
+	if (outcome->result == HTTP_CONNECT_FAILED &&
+	    call->tried < TARGETS_TRIED) {
+		http_conn_destroy(conn);
+		stream->moved++;
+		if (send_to_next(call))
+			return;
+		call->load->in_flight--;
+		find_reason(stream, "client_connect_failed")->count++;
+		free(call);
+		return;
+	}
 	call->load->in_flight--;
 	if (outcome->result != HTTP_OK) {
 		find_reason(stream, result_names[outcome->result])->count++;
@@ -259,9 +319,6 @@
 static void send_call(struct load *load, struct stream *stream)
 {
 	struct call *call = calloc(1, sizeof(*call));
-	struct http_call http = { .method = stream->method,
-				  .answer_max_bytes = ANSWER_BYTES_MAX,
-				  .done = call_done };
 
 	stream->sent++;
 	if (!call)
@@ -270,35 +327,13 @@
 	call->load = load;
 	call->stream = stream;
 	call->due_us = stream->next_us;
-	call->target = &load->targets[load->serial % load->nr_targets];
 	/* Checked when read: at most one "%u". */
 	snprintf(call->path, sizeof(call->path), stream->target,
 		 (unsigned int)load->serial);
-	call->headers[http.nr_headers++] =
-		(struct http_header){ "Host", call->target->address };
-	if (*stream->authorization)
-		call->headers[http.nr_headers++] =
-			(struct http_header){ "Authorization",
-					      stream->authorization };
-	if (!stream->idempotent) {
-		snprintf(call->idempotency_key, sizeof(call->idempotency_key),
-			 "%016" PRIx64 "%08" PRIx64, next_random(load),
-			 load->serial);
-		call->headers[http.nr_headers++] =
-			(struct http_header){ "Idempotency-Key",
-					      call->idempotency_key };
-	}
-	http.target = call->path;
-	http.headers = call->headers;
-	http.body = load->body;
-	http.body_bytes = stream->body_bytes;
-	http.timeout_ms = stream->deadline_ms + 2000;
-	http.arg = call;
-	call->conn = take_connection(load, call->target);
-	if (!call->conn || http_conn_call(call->conn, &http)) {
+	snprintf(call->idempotency_key, sizeof(call->idempotency_key),
+		 "%016" PRIx64 "%08" PRIx64, next_random(load), load->serial);
+	if (!send_to_next(call)) {
 		find_reason(stream, "client_connect_failed")->count++;
-		if (call->conn)
-			http_conn_destroy(call->conn);
 		free(call);
 		return;
 	}
@@ -438,6 +473,7 @@
 	cJSON_AddNumberToObject(json, "sent", (double)stream->sent);
 	cJSON_AddNumberToObject(json, "ok", (double)stream->ok);
 	cJSON_AddNumberToObject(json, "late", (double)stream->late);
+	cJSON_AddNumberToObject(json, "moved", (double)stream->moved);
 	cJSON_AddNumberToObject(json, "answer_bytes",
 				(double)stream->answer_bytes);
 	cJSON_AddNumberToObject(json, "p50_ms", quantile_ms(stream, 0.5));
