Add a script that measures what requests and control cost

make capacity starts small fleets on loopback, pinned to two cores, and prints processor time a request, a look-up and a second of control, with bytes of control counted by relays, since the peer module counts none. Processor time comes from /proc, so other work on the machine changes it little.

--- a/Makefile
+++ b/Makefile
@@ -79,6 +79,10 @@
 bench: $(BUILD)/tests/http_bench
 	$(BUILD)/tests/http_bench
 
+# Slopes that docs/CAPACITY.md calculates with; takes under four minutes.
+capacity: all
+	$(PYTHON) loadgen/capacity.py $(BUILD)
+
 install-deps:
 	sh .ci/install
 
@@ -116,4 +120,4 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all install-deps format check-format lint tests test bench check demo proto clean
+.PHONY: all install-deps format check-format lint tests test bench capacity check demo proto clean
