Measure look-up size, serving and a larger fleet in the capacity run

A look-up lists every entry instance, so its cost and size are measured at 3, 6 and 12 instances. Reports carry tokens only while requests are served, so one window has 600 requests a second.

--- a/loadgen/capacity.py
+++ b/loadgen/capacity.py
@@ -16,6 +16,7 @@
 import statistics
 import subprocess
 import sys
+import threading
 import time
 
 import yaml
@@ -36,14 +37,16 @@
 LOOKUP = "/v1/entry?client=10.1.2.3"
 BLOCKS = 2000
 # One fleet a row: entry instances, customers, backend servers, client blocks,
-# and the changes a second of each window.
+# and the windows: changes a second and requests a second of the whole fleet.
+QUIET, CHANGING, SERVING = (0, 0), (CHANGES_PER_S, 0), (0, 600)
 POINTS = (
-    (3, 8, 9, 0, (0,)),
-    (6, 8, 9, 0, (0, CHANGES_PER_S)),
-    (12, 8, 9, 0, (0,)),
-    (6, 64, 9, 0, (0, CHANGES_PER_S)),
-    (6, 8, 36, 0, (0,)),
-    (6, 8, 9, BLOCKS, (0, CHANGES_PER_S)),
+    (3, 8, 9, 0, (QUIET,)),
+    (6, 8, 9, 0, (QUIET, CHANGING, SERVING)),
+    (12, 8, 9, 0, (QUIET,)),
+    (6, 64, 9, 0, (QUIET, CHANGING)),
+    (6, 8, 36, 0, (QUIET,)),
+    (12, 8, 36, 0, (QUIET,)),
+    (6, 8, 9, BLOCKS, (QUIET, CHANGING)),
 )
 
 
@@ -128,9 +131,9 @@
     raise RuntimeError("no VmRSS")
 
 
-def load(build, target, path, rate, key="", duration_ms=STEP_MS):
+def load(build, targets, path, rate, key="", duration_ms=STEP_MS):
     """Offers an open-loop load; returns the result of its only stream."""
-    plan = {"seed": 1, "duration_ms": duration_ms, "targets": [target],
+    plan = {"seed": 1, "duration_ms": duration_ms, "targets": targets,
             "streams": [{"name": "s", "method": "GET", "target": path,
                          "rate_per_s": rate, "body_bytes": 0, "key": key,
                          "idempotent": True, "deadline_ms": 5000,
@@ -144,7 +147,7 @@
 
 def loaded(build, process, target, path, rate, key=""):
     before = cpu_us(process)
-    got = load(build, target, path, rate, key)
+    got = load(build, [target], path, rate, key)
     return {"offered_per_s": rate, "ok_per_s": got["ok"] * 1000 / STEP_MS,
             "sent": got["sent"], "ok": got["ok"], "refused": got["refused"],
             "us_each": round((cpu_us(process) - before) / max(got["sent"], 1), 1)}
@@ -316,25 +319,43 @@
     }
 
 
-def lookup_us(build, fleet):
+def served_window(build, fleet, changes_per_s, requests_per_s):
+    """The same while requests are served, which adds tokens to the reports."""
+    if not requests_per_s:
+        return window(fleet, changes_per_s)
+    got = {}
+    thread = threading.Thread(target=lambda: got.update(load(
+        build, list(fleet.callers.values()), "/orders/x", requests_per_s,
+        fleet.keys[CUSTOMER], int(1000 * WINDOW_S) + 2000)))
+    thread.start()
+    time.sleep(1)
+    row = window(fleet, changes_per_s)
+    thread.join()
+    return {**row, "sent": got["sent"], "ok": got["ok"]}
+
+
+def lookup_cost(build, fleet):
     """A look-up ranks and lists all instances, so its cost grows with them."""
     name = fleet.entry_names[0]
-    return loaded(build, fleet.processes[name], fleet.callers[name], LOOKUP,
-                  COST_RATE)["us_each"]
+    row = loaded(build, fleet.processes[name], fleet.callers[name], LOOKUP,
+                 COST_RATE)
+    body = fleetlib.request(fleet.callers[name], "GET", LOOKUP).body
+    return {"lookup_us": row["us_each"], "lookup_bytes": len(body)}
 
 
 def control_part(build):
     rows = []
-    for entries, customers, servers, blocks, rates in POINTS:
+    for entries, customers, servers, blocks, windows in POINTS:
         with make_fleet(build, entries, customers, blocks, relays=True) as fleet:
             start(fleet, [(u, servers // 3, 5) for u in
                           ("lookup", "commitment", "drawing")], 4)
-            for rate in rates:
+            for rate, requests in windows:
                 row = {"entries": entries, "customers": customers,
                        "servers": servers, "blocks": blocks,
-                       **window(fleet, rate)}
-                if not rate:
-                    row["lookup_us"] = lookup_us(build, fleet)
+                       "requests_per_s": requests,
+                       **served_window(build, fleet, rate, requests)}
+                if not rate and not requests:
+                    row.update(lookup_cost(build, fleet))
                 rows.append(row)
                 print(json.dumps(row), flush=True)
     return rows
