Never forward targets under /almondward/

A route with the prefix "/" forwarded a caller's POST to /almondward/cancel/VALUE, the request by which almondward cancels work at a backend server. A caller that knew or guessed a value could stop the work of another one.

The comparison ignores case and also covers "/almondward" followed by '?', ';' or '%', since some servers drop path parameters or trim encoded white space. Encoded letters, dot segments and empty segments are refused by route_target_ok() already. "/almondwards" is an ordinary target.

--- a/almondward/entry_admission.c
+++ b/almondward/entry_admission.c
@@ -10,6 +10,7 @@
 #include <utlist.h>
 
 #define OPEN_CUSTOMER "-"
+#define RESERVED_PATH "/almondward"
 
 static const char *header(const struct request *request, const char *name)
 {
@@ -81,12 +82,25 @@
 	return REFUSAL_NONE;
 }
 
+/*
+ * True for targets that only almondward itself sends to backend servers. Some
+ * servers compare paths without case, drop parameters after ';' or trim
+ * encoded white space; route_target_ok() refuses all other spellings.
+ */
+static bool is_reserved(const char *target)
+{
+	const size_t len_bytes = sizeof(RESERVED_PATH) - 1;
+
+	return !strncasecmp(target, RESERVED_PATH, len_bytes) &&
+	       (!target[len_bytes] || strchr("/?;%", target[len_bytes]));
+}
+
 static enum refusal find_route(struct request *request)
 {
 	const struct view *view = agent_view(request->core->agent);
 	const Aw__Route *route = view_route(view, request->http->target);
 
-	if (!route)
+	if (!route || is_reserved(request->http->target))
 		return REFUSAL_NO_ROUTE;
 	if (!route_method_ok(route, request->http->method))
 		return REFUSAL_METHOD;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -122,6 +122,27 @@
 	EXPECT_EQ(0u, core_active(f.core));
 }
 
+// A caller must not reach what almondward itself sends to backend servers: a
+// forwarded cancellation would stop the work of another caller.
+TEST(Admission, NeverForwardsReservedTargets)
+{
+	CoreFake f;
+
+	f.a.fake.route("all", "/", "u", true);
+	f.up();
+	for (const char *target :
+	     { "/almondward/cancel/e1-1.1", "/almondward", "/almondward/",
+	       "/AlmondWard/cancel/e1-1.1", "/almondward;a=b/cancel/e1-1.1",
+	       "/almondward%20/cancel/e1-1.1", "/almondward?x=1" }) {
+		Caller &caller = f.ask("POST", target, {});
+		EXPECT_EQ(REFUSAL_NO_ROUTE, caller.refusal) << target;
+		EXPECT_TRUE(caller.not_run) << target;
+	}
+	EXPECT_EQ(0u, f.backends.size());
+	f.ask("GET", "/almondwards/1", {});
+	EXPECT_EQ(1u, f.backends.size());
+}
+
 // A request waits for tokens only until the leader has refused or the
 // admission wait is over; the answer then names the time to come back.
 TEST(Admission, WaitsForTokensAndAnswersAtOnceWhenRefused)
