Tell all peers at once when leader or term change

Entry instances learned of a new leader only from its periodic ping, up to 500 ms after its election, and could neither report nor get tokens in that time. peer_node_set_leader() is called each tick; it now sends a ping on all links when leader or term differ from before, and nothing otherwise. Each change costs one small frame a link.

Agents log the first grant of each term, which makes the time visible.

The test was seen failing on the code before: both pings were missing.

--- a/almondward/agent.c
+++ b/almondward/agent.c
@@ -308,6 +308,8 @@
 	}
 	ctr_add(agent->grants, 1);
 	if (grant->term != agent->grant_term) {
+		log_info("agent", "first grant of term %llu",
+			 (unsigned long long)grant->term);
 		agent->whole_table_due = true;
 		agent->whole_table_sequence = 0;
 		agent->table_version = 0;
--- a/almondward/peer.c
+++ b/almondward/peer.c
@@ -629,8 +629,17 @@
 void peer_node_set_leader(struct peer_node *node, const char *leader,
 			  uint64_t term)
 {
+	struct peer_link *link;
+
+	if (!strcmp(node->leader, leader ? leader : "") && node->term == term)
+		return;
 	set_name(node->leader, leader);
 	node->term = term;
+	DL_FOREACH(node->links, link)
+	{
+		if (link->state == LINK_PROOF || link->state == LINK_UP)
+			send_ping(link);
+	}
 }
 
 const char *peer_link_name(const struct peer_link *link)
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -249,6 +249,27 @@
 	EXPECT_EQ("c", t.b.leader);
 }
 
+// Entry instances must not learn of a new leader only by the periodic ping.
+TEST(Peer, NewLeaderIsToldAtOnce)
+{
+	Two t;
+
+	t.connect();
+	EXPECT_TRUE(t.net.until([&] { return t.b.pings > 1; }));
+	peer_node_set_leader(t.a.node, "c", 3);
+	EXPECT_TRUE(t.net.until([&] { return t.b.leader == "c"; },
+				PEER_PING_MS / 5));
+	int pings = t.b.pings;
+	peer_node_set_leader(t.a.node, "c", 4);
+	EXPECT_TRUE(t.net.until([&] { return t.b.pings > pings; },
+				PEER_PING_MS / 5));
+	pings = t.b.pings;
+	for (int i = 0; i < 100; i++)
+		peer_node_set_leader(t.a.node, "c", 4);
+	t.net.run_ms(20);
+	EXPECT_LE(t.b.pings, pings + 1);
+}
+
 TEST(Peer, OtherSecretIsRefused)
 {
 	Net net;
