Give every response of an entry instance a request id

docs/http.md says that every response has Almondward-Request-Id. Refusals that the HTTP layer makes itself (bad request, head or body too large, unknown expectation, memory) and answers to look-ups had none, and the refusals carried an empty request_id.

struct http_server_settings gets make_id, a callback of the owner, since the id contains the name of the instance and the HTTP layer does not know it. The server calls it for its own refusals, for http_respond_refusal() with an empty id, and for any response without the header. 100 Continue is no response to the request and gets none. Control instances set no make_id and answer as before.

The tables of http_server_test now check each final response. Seen failing before: no row had the header.

--- a/almondward/entry.c
+++ b/almondward/entry.c
@@ -350,6 +350,13 @@
 	return entry->pool && entry->core && entry->timer;
 }
 
+static void make_id(void *arg, char id[REQUEST_ID_BYTES_MAX])
+{
+	const struct entry *entry = arg;
+
+	core_make_id(entry->core, id);
+}
+
 static bool listen_on(struct entry *entry, const char *address,
 		      struct http_server_settings *settings,
 		      http_handler_fn handler, struct http_server **server)
@@ -361,6 +368,7 @@
 	settings->head_timeout_ms = HEAD_TIMEOUT_MS;
 	settings->body_timeout_ms = BODY_TIMEOUT_MS;
 	settings->counters = entry->counters;
+	settings->make_id = make_id;
 	error = http_server_create(entry->loop, settings, handler, entry,
 				   server);
 	if (!error)
--- a/almondward/entry_core.c
+++ b/almondward/entry_core.c
@@ -101,7 +101,7 @@
 	return upstream;
 }
 
-static void make_id(struct core *core, char id[REQUEST_ID_BYTES_MAX])
+void core_make_id(const struct core *core, char id[REQUEST_ID_BYTES_MAX])
 {
 	uint8_t random[8];
 	char hex[2 * sizeof(random) + 1];
@@ -128,13 +128,13 @@
 
 	ctr_add(core->requests_counter, 1);
 	if (!request) {
-		make_id(core, id);
+		core_make_id(core, id);
 		ctr_add(core->refusal_counters[REFUSAL_MEMORY], 1);
 		core->io.refuse(core->arg, exchange, REFUSAL_MEMORY,
 				"no memory for the request", id, true, 1000);
 		return;
 	}
-	make_id(core, request->id);
+	core_make_id(core, request->id);
 	request->core = core;
 	request->exchange = exchange;
 	request->http = http;
--- a/almondward/entry_core.h
+++ b/almondward/entry_core.h
@@ -83,6 +83,11 @@
 void core_start(struct core *core, struct http_exchange *exchange,
 		const struct http_request *http);
 
+/*
+ * Makes a new request id, which contains the name of the instance.
+ */
+void core_make_id(const struct core *core, char id[REQUEST_ID_BYTES_MAX]);
+
 /*
  * To be called after the agent applied a Grant, and about every 10 ms.
  */
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -65,6 +65,12 @@
 	uint32_t head_timeout_ms;
 	uint32_t body_timeout_ms; /* without progress */
 	struct ctr_set *counters; /* may be NULL */
+	/*
+	 * Makes the request id of a response that has none, as refusals of the
+	 * server itself; arg is that of the handler. NULL: such responses have
+	 * no id.
+	 */
+	void (*make_id)(void *arg, char id[REQUEST_ID_BYTES_MAX]);
 };
 
 /*
@@ -95,7 +101,8 @@
 /*
  * Answers with {"error", "detail", "request_id", "not_run"} as JSON and, if
  * retry_after_ms is not 0, Retry-After in whole seconds, rounded up, and
- * Almondward-Retry-After-Ms. not_run also sets Almondward-Not-Run: 1.
+ * Almondward-Retry-After-Ms. not_run also sets Almondward-Not-Run: 1. An empty
+ * request_id is replaced by one of make_id.
  */
 void http_respond_refusal(struct http_exchange *exchange, enum refusal refusal,
 			  const char *detail, const char *request_id,
--- a/almondward/http_private.h
+++ b/almondward/http_private.h
@@ -88,11 +88,13 @@
 int http_append_headers(struct buf *out, const struct http_header *headers,
 			size_t nr_headers);
 
+#define REQUEST_ID_HEADER "Almondward-Request-Id"
+
 /*
  * Appends status line and headers. Returns false when memory is exhausted.
  */
 bool http_append_head(struct buf *out, const struct http_response *response,
-		      bool head_only, bool close_conn);
+		      const char *request_id, bool head_only, bool close_conn);
 
 /*
  * A refusal with the memory that its headers and body refer to. json is freed
--- a/almondward/http_response.c
+++ b/almondward/http_response.c
@@ -47,7 +47,7 @@
 }
 
 bool http_append_head(struct buf *out, const struct http_response *response,
-		      bool head_only, bool close_conn)
+		      const char *request_id, bool head_only, bool close_conn)
 {
 	uint32_t status = response->status;
 	bool no_length = status == 204 || status == 304 ||
@@ -57,6 +57,9 @@
 		       http_status_str((enum http_status)status)) ||
 	    http_append_headers(out, response->headers, response->nr_headers))
 		return false;
+	if (*request_id &&
+	    buf_printf(out, REQUEST_ID_HEADER ": %s\r\n", request_id))
+		return false;
 	if (!no_length &&
 	    buf_printf(out, "Content-Length: %zu\r\n", response->body_bytes))
 		return false;
@@ -101,7 +104,7 @@
 	r->response.body_bytes = r->json ? strlen(r->json) : 0;
 	add_header(r, "Content-Type", "application/json");
 	if (request_id && *request_id)
-		add_header(r, "Almondward-Request-Id", request_id);
+		add_header(r, REQUEST_ID_HEADER, request_id);
 	if (not_run)
 		add_header(r, "Almondward-Not-Run", "1");
 	if (!retry_after_ms)
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -218,6 +218,17 @@
 
 /* ---- responses ---- */
 
+/*
+ * Leaves id empty when the server has no make_id.
+ */
+static void make_id(const struct http_server *server,
+		    char id[REQUEST_ID_BYTES_MAX])
+{
+	*id = '\0';
+	if (server->settings.make_id)
+		server->settings.make_id(server->arg, id);
+}
+
 /*
  * Returns false when the connection cannot take the response.
  */
@@ -227,10 +238,14 @@
 	uint32_t status = response->status;
 	bool has_body = !head_only && status != 204 && status != 304 &&
 			response->body_bytes;
+	char id[REQUEST_ID_BYTES_MAX] = "";
 	struct buf out = BUF_INIT;
 	enum loop_error err = LOOP_ERR_MEMORY;
 
-	if (http_append_head(&out, response, head_only, conn->close) &&
+	if (!http_header_value(response->headers, response->nr_headers,
+			       REQUEST_ID_HEADER))
+		make_id(conn->server, id);
+	if (http_append_head(&out, response, id, head_only, conn->close) &&
 	    (!has_body ||
 	     !buf_append(&out, response->body, response->body_bytes)))
 		err = loop_conn_send(conn->loop_conn, out.data, out.len_bytes);
@@ -292,8 +307,13 @@
 			  const char *detail, const char *request_id,
 			  bool not_run, uint32_t retry_after_ms)
 {
+	char id[REQUEST_ID_BYTES_MAX];
 	struct http_refusal r;
 
+	if (!request_id || !*request_id) {
+		make_id(exchange->server, id);
+		request_id = id;
+	}
 	http_build_refusal(&r, refusal, detail, request_id, not_run,
 			   retry_after_ms);
 	http_respond(exchange, &r.response);
@@ -307,13 +327,15 @@
 static void refuse(struct server_conn *conn, enum refusal refusal,
 		   const char *detail)
 {
+	char id[REQUEST_ID_BYTES_MAX];
 	struct http_refusal r;
 	bool head_only = conn->exchange && conn->exchange->msg.head_done &&
 			 conn->exchange->msg.parser.method == HTTP_HEAD;
 
 	count_refusal(conn->server, refusal);
 	conn->close = true;
-	http_build_refusal(&r, refusal, detail, NULL, true,
+	make_id(conn->server, id);
+	http_build_refusal(&r, refusal, detail, id, true,
 			   refusal_status(refusal) == 503 ? RETRY_AFTER_MS : 0);
 	respond(conn, &r.response, head_only);
 	free(r.json);
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -19,6 +19,7 @@
 	bool hold = false;
 	bool destroy_in_handler = false;
 	int aborted = 0;
+	int ids = 0;
 
 	explicit Server(uint32_t timeout_ms = 300, uint32_t connections = 100)
 	{
@@ -32,6 +33,7 @@
 		settings.head_timeout_ms = timeout_ms;
 		settings.body_timeout_ms = timeout_ms;
 		settings.counters = counters;
+		settings.make_id = make_id;
 		EXPECT_EQ(LOOP_OK, http_server_create(net.loop, &settings,
 						      handle, this, &server));
 	}
@@ -42,6 +44,12 @@
 		ctr_set_destroy(counters);
 	}
 
+	static void make_id(void *arg, char id[REQUEST_ID_BYTES_MAX])
+	{
+		snprintf(id, REQUEST_ID_BYTES_MAX, "e1-%d",
+			 ++((Server *)arg)->ids);
+	}
+
 	static void abort(void *arg)
 	{
 		((Server *)arg)->aborted++;
@@ -380,7 +388,14 @@
 			<< row.name;
 		EXPECT_EQ(1u, count(raw.received, "Almondward-Not-Run: 1"));
 		EXPECT_EQ(1u, count(raw.received, "Connection: close"));
+		EXPECT_EQ(0u, count(raw.received, "\"request_id\":\"\""));
 	}
+	// Callers name the id when they ask about a response; 1xx have none.
+	size_t finals = 0;
+	for (int status : row.statuses)
+		finals += status >= 200;
+	EXPECT_EQ(finals, count(raw.received, "Almondward-Request-Id: e1-"))
+		<< row.name;
 }
 
 } // namespace
