Do not give up responses that are still arriving

An idempotent request without any response bytes after a third of its deadline is tried elsewhere. The check could not see whether a response had begun, so a large or slow response that was still arriving was cancelled and run again on another server, up to attempts_max times.

http_conn_responding() tells whether a byte of the final response has arrived; struct core_io passes it on as responding, and the check for silent attempts leaves such an attempt alone. Its end is the deadline.

The core test was seen failing before: three attempts instead of one.

--- a/almondward/entry.c
+++ b/almondward/entry.c
@@ -223,6 +223,12 @@
 	pool_abort(entry->pool, backend);
 }
 
+static bool io_responding(void *arg, const struct backend *backend)
+{
+	(void)arg;
+	return pool_responding(backend);
+}
+
 static void call_settled(void *arg)
 {
 	struct entry *entry = arg;
@@ -318,8 +324,8 @@
 	struct agent_ops agent_ops = { send_to_control, agent_changed };
 	struct core_settings core = { .name = settings->name,
 				      .zone = settings->zone };
-	struct core_io io = { io_respond, io_refuse, io_on_abort, io_send,
-			      io_abort };
+	struct core_io io = { io_respond, io_refuse, io_on_abort,
+			      io_send,	  io_abort,  io_responding };
 	struct pool_settings pool = { .settled = call_settled, .arg = entry };
 
 	entry->clk = clk_create_system();
--- a/almondward/entry_core.h
+++ b/almondward/entry_core.h
@@ -54,6 +54,8 @@
 	struct backend *(*send)(void *arg, const struct backend_call *call);
 	/* Closes the connection; done is not called. */
 	void (*abort)(void *arg, struct backend *backend);
+	/* True if a byte of the response has arrived. */
+	bool (*responding)(void *arg, const struct backend *backend);
 };
 
 struct core_settings {
--- a/almondward/entry_dispatch.c
+++ b/almondward/entry_dispatch.c
@@ -465,6 +465,8 @@
 		return;
 	/* Looked at again later: a slot elsewhere may become free. */
 	attempt->silent_at_ms = now_ms + 100;
+	if (request->core->io.responding(request->core->arg, attempt->backend))
+		return;
 	if (!answered_since(request))
 		note_failing(request);
 	if (deny_reason(request) || !queue_has_other(request))
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -200,6 +200,12 @@
  */
 bool http_conn_reusable(const struct http_conn *conn);
 
+/*
+ * True if a request waits for its response and a byte of that has arrived;
+ * 1xx responses do not count once they are complete.
+ */
+bool http_conn_responding(const struct http_conn *conn);
+
 /*
  * Clock when the last response was complete or the connection established.
  */
--- a/almondward/http_client.c
+++ b/almondward/http_client.c
@@ -376,6 +376,11 @@
 	return conn->state == CLIENT_IDLE && !conn->busy;
 }
 
+bool http_conn_responding(const struct http_conn *conn)
+{
+	return conn->busy && conn->any_byte;
+}
+
 uint64_t http_conn_idle_since_ms(const struct http_conn *conn)
 {
 	return conn->idle_since_ms;
--- a/almondward/pool.c
+++ b/almondward/pool.c
@@ -266,6 +266,11 @@
 	return backend;
 }
 
+bool pool_responding(const struct backend *backend)
+{
+	return http_conn_responding(backend->conn);
+}
+
 void pool_abort(struct pool *pool, struct backend *backend)
 {
 	DL_DELETE(pool->backends, backend);
--- a/almondward/pool.h
+++ b/almondward/pool.h
@@ -39,6 +39,11 @@
  */
 void pool_tick(struct pool *pool);
 
+/*
+ * See struct core_io.
+ */
+bool pool_responding(const struct backend *backend);
+
 /*
  * See struct core_io. The slot of the call must have been taken.
  */
--- a/tests/core_fake.h
+++ b/tests/core_fake.h
@@ -48,6 +48,7 @@
 	std::string address, target, method, body;
 	std::map<std::string, std::string> headers;
 	bool sent = false, closed = false, finished = false;
+	bool responding = false; // a byte of the response has arrived
 
 	bool is_cancel() const
 	{
@@ -125,6 +126,11 @@
 		backend->closed = true;
 	}
 
+	static bool responding(void *, const struct backend *backend)
+	{
+		return backend->responding;
+	}
+
 public:
 	AgentFake a;
 	struct dec_ring *decisions = dec_create(100);
@@ -146,7 +152,8 @@
 		struct core_settings settings = {
 			"e1", "z1", a.agent, a.clk, a.counters, decisions
 		};
-		struct core_io io = { respond, refuse, on_abort, send, abort };
+		struct core_io io = { respond, refuse, on_abort,
+				      send,    abort,  responding };
 
 		memcpy(fake_policy, policy, sizeof(policy));
 		core = core_create(&settings, &io, this);
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -532,6 +532,22 @@
 	}
 }
 
+// A response that is still arriving must not be given up as silent.
+TEST(Dispatch, ArrivingResponseIsNotTriedElsewhere)
+{
+	CoreFake f;
+
+	f.up();
+	Caller &caller = f.look();
+	f.let_send(f.last());
+	f.last()->responding = true;
+	f.pass_leased(8000);
+	ASSERT_EQ(1u, f.backends.size());
+	f.end(f.last(), HTTP_OK);
+	EXPECT_EQ(200u, caller.status);
+	EXPECT_EQ("0", f.counter("retries", "silent"));
+}
+
 // Connections that went silent are given up after a third of the deadline.
 TEST(Dispatch, SilentAttemptIsTriedElsewhere)
 {
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -244,6 +244,24 @@
 
 } // namespace
 
+// Guards the accessor that tells a silent server from a slow response.
+TEST(HttpClient, TellsWhenAResponseHasBegun)
+{
+	Client c;
+
+	EXPECT_FALSE(http_conn_responding(c.conn));
+	c.start_and_wait();
+	EXPECT_FALSE(http_conn_responding(c.conn));
+	c.server.last.send("HTTP/1.1 103 Early Hints\r\n\r\n");
+	c.net.run_ms(20);
+	EXPECT_FALSE(http_conn_responding(c.conn));
+	c.server.last.send("H");
+	EXPECT_TRUE(c.net.until([&] { return http_conn_responding(c.conn); }));
+	c.server.last.send("TTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+	EXPECT_TRUE(c.finish());
+	EXPECT_FALSE(http_conn_responding(c.conn));
+}
+
 TEST(HttpClient, Table)
 {
 	for (const auto &row : rows())
