--- a/almondward/entry.c
+++ b/almondward/entry.c
@@ -223,6 +223,12 @@
 	pool_abort(entry->pool, backend);
 }
 
+static bool io_responding(void *arg, const struct backend *backend)
+{
+	(void)arg;
+	return pool_responding(backend);
+}
+
 static void call_settled(void *arg)
 {
 	struct entry *entry = arg;
@@ -318,8 +324,8 @@
 	struct agent_ops agent_ops = { send_to_control, agent_changed };
 	struct core_settings core = { .name = settings->name,
 				      .zone = settings->zone };
-	struct core_io io = { io_respond, io_refuse, io_on_abort, io_send,
-			      io_abort };
+	struct core_io io = { io_respond, io_refuse, io_on_abort,
+			      io_send,	  io_abort,  io_responding };
 	struct pool_settings pool = { .settled = call_settled, .arg = entry };
 
 	entry->clk = clk_create_system();
@@ -350,6 +356,13 @@
 	return entry->pool && entry->core && entry->timer;
 }
 
+static void make_id(void *arg, char id[REQUEST_ID_BYTES_MAX])
+{
+	const struct entry *entry = arg;
+
+	core_make_id(entry->core, id);
+}
+
 static bool listen_on(struct entry *entry, const char *address,
 		      struct http_server_settings *settings,
 		      http_handler_fn handler, struct http_server **server)
@@ -361,6 +374,7 @@
 	settings->head_timeout_ms = HEAD_TIMEOUT_MS;
 	settings->body_timeout_ms = BODY_TIMEOUT_MS;
 	settings->counters = entry->counters;
+	settings->make_id = make_id;
 	error = http_server_create(entry->loop, settings, handler, entry,
 				   server);
 	if (!error)
--- a/tests/core_fake.h
+++ b/tests/core_fake.h
@@ -48,6 +48,7 @@
 	std::string address, target, method, body;
 	std::map<std::string, std::string> headers;
 	bool sent = false, closed = false, finished = false;
+	bool responding = false; // a byte of the response has arrived
 
 	bool is_cancel() const
 	{
@@ -125,6 +126,11 @@
 		backend->closed = true;
 	}
 
+	static bool responding(void *, const struct backend *backend)
+	{
+		return backend->responding;
+	}
+
 public:
 	AgentFake a;
 	struct dec_ring *decisions = dec_create(100);
@@ -135,6 +141,7 @@
 	const std::string key = "aw1_" + std::string(43, 'k');
 	const std::string other_key = "aw1_" + std::string(43, 'o');
 	Aw__Key *key_record;
+	Aw__Customer *customer_record;
 	uint64_t state_version = 1;
 
 	CoreFake()
@@ -146,7 +153,8 @@
 		struct core_settings settings = {
 			"e1", "z1", a.agent, a.clk, a.counters, decisions
 		};
-		struct core_io io = { respond, refuse, on_abort, send, abort };
+		struct core_io io = { respond, refuse, on_abort,
+				      send,    abort,  responding };
 
 		memcpy(fake_policy, policy, sizeof(policy));
 		core = core_create(&settings, &io, this);
@@ -154,7 +162,7 @@
 		a.fake.zone("z1", "r1");
 		a.fake.zone("z2", "r1");
 		a.fake.zone("z9", "r9");
-		a.fake.customer("m", 1);
+		customer_record = a.fake.customer("m", 1);
 		a.fake.customer("big", 3);
 		key_record = a.fake.key("k1", "m", key);
 		a.fake.key("k2", "big", other_key);
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -122,6 +122,27 @@
 	EXPECT_EQ(0u, core_active(f.core));
 }
 
+// A caller must not reach what almondward itself sends to backend servers: a
+// forwarded cancellation would stop the work of another caller.
+TEST(Admission, NeverForwardsReservedTargets)
+{
+	CoreFake f;
+
+	f.a.fake.route("all", "/", "u", true);
+	f.up();
+	for (const char *target :
+	     { "/almondward/cancel/e1-1.1", "/almondward", "/almondward/",
+	       "/AlmondWard/cancel/e1-1.1", "/almondward;a=b/cancel/e1-1.1",
+	       "/almondward%20/cancel/e1-1.1", "/almondward?x=1" }) {
+		Caller &caller = f.ask("POST", target, {});
+		EXPECT_EQ(REFUSAL_NO_ROUTE, caller.refusal) << target;
+		EXPECT_TRUE(caller.not_run) << target;
+	}
+	EXPECT_EQ(0u, f.backends.size());
+	f.ask("GET", "/almondwards/1", {});
+	EXPECT_EQ(1u, f.backends.size());
+}
+
 // A request waits for tokens only until the leader has refused or the
 // admission wait is over; the answer then names the time to come back.
 TEST(Admission, WaitsForTokensAndAnswersAtOnceWhenRefused)
@@ -141,14 +162,14 @@
 	Caller &refused = f.look();
 	f.pass(10);
 	AgentFake::GrantParts none;
-	none.token("m", 0, 70);
+	none.token("m", 0, 270);
 	f.a.grant(none);
 	EXPECT_EQ(REFUSAL_RATE, refused.refusal);
-	EXPECT_EQ(70u, refused.retry_after_ms);
+	EXPECT_EQ(270u, refused.retry_after_ms);
 	EXPECT_TRUE(refused.not_run);
 	Caller &again = f.look();
 	EXPECT_EQ(REFUSAL_RATE, again.refusal);
-	f.pass(100);
+	f.pass(300);
 	Caller &unknown = f.look();
 	f.pass(490);
 	EXPECT_FALSE(unknown.answered);
@@ -157,6 +178,70 @@
 	EXPECT_GT(unknown.retry_after_ms, 0u);
 }
 
+// A short refusal, as after a change of the leader, must not cost a customer
+// within its rate an answer. No more than a quarter of a second's requests wait
+// for it, so a customer above its rate is still refused at once.
+TEST(Admission, WaitsOutShortRefusalsWithinBounds)
+{
+	CoreFake f;
+	AgentFake::GrantParts refused, two, too_long;
+
+	refused.token("m", 0, 200);
+	refused.token("big", 1);
+	two.token("m", 2);
+	too_long.token("m", 0, 251);
+	f.customer_record->rate_per_s = 8;
+	f.up(4, 0);
+	Caller &first = f.look();
+	Caller &second = f.look();
+	Caller &third = f.look();
+	f.pass(10);
+	f.a.grant(refused);
+	EXPECT_FALSE(first.answered || second.answered);
+	EXPECT_EQ(REFUSAL_RATE, third.refusal);
+	EXPECT_EQ(200u, third.retry_after_ms);
+	EXPECT_EQ(REFUSAL_RATE, f.look().refusal);
+	// Another customer is not held back.
+	f.ask("GET", "/look/1",
+	      { { "Authorization", "Bearer " + f.other_key } });
+	EXPECT_EQ(1u, f.backends.size());
+	// The refusal is over, but those that wait have not been served yet.
+	f.pass(210);
+	Caller &fourth = f.look();
+	EXPECT_EQ(REFUSAL_RATE, fourth.refusal);
+	EXPECT_GE(fourth.retry_after_ms, 250u);
+	f.a.grant(two);
+	EXPECT_EQ(3u, f.backends.size());
+	Caller &fifth = f.look();
+	f.pass(10);
+	f.a.grant(too_long);
+	EXPECT_EQ(REFUSAL_RATE, fifth.refusal);
+	EXPECT_EQ(251u, fifth.retry_after_ms);
+}
+
+// A request must not wait for a token that comes after its deadline.
+TEST(Admission, ShortRefusalBeyondTheDeadlineIsAnsweredAtOnce)
+{
+	CoreFake f;
+	AgentFake::GrantParts refused;
+	Headers headers = { { "Authorization", "Bearer " + f.key },
+			    { "Almondward-Deadline-Ms", "150" } };
+
+	refused.token("m", 0, 200);
+	f.up(4, 0);
+	Caller &waits = f.look();
+	Caller &late = f.ask("GET", "/look", headers);
+	f.pass(10);
+	f.a.grant(refused);
+	EXPECT_FALSE(waits.answered);
+	EXPECT_EQ(REFUSAL_RATE, late.refusal);
+	EXPECT_EQ(200u, late.retry_after_ms);
+	// Without an answer it is refused for the rate, which is what is known.
+	f.pass(500);
+	EXPECT_EQ(REFUSAL_RATE, waits.refusal);
+	EXPECT_GT(waits.retry_after_ms, 0u);
+}
+
 // Lease, key, route and claim can change between admission and the first
 // byte; then no byte may leave and the answer says "not run".
 TEST(Dispatch, ChecksAgainJustBeforeTheFirstByte)
@@ -511,6 +596,22 @@
 	}
 }
 
+// A response that is still arriving must not be given up as silent.
+TEST(Dispatch, ArrivingResponseIsNotTriedElsewhere)
+{
+	CoreFake f;
+
+	f.up();
+	Caller &caller = f.look();
+	f.let_send(f.last());
+	f.last()->responding = true;
+	f.pass_leased(8000);
+	ASSERT_EQ(1u, f.backends.size());
+	f.end(f.last(), HTTP_OK);
+	EXPECT_EQ(200u, caller.status);
+	EXPECT_EQ("0", f.counter("retries", "silent"));
+}
+
 // Connections that went silent are given up after a third of the deadline.
 TEST(Dispatch, SilentAttemptIsTriedElsewhere)
 {
