store: Name an offset only where it means something

A founding in a used directory said "d1/: offset 0: the directory is not empty". Messages about a whole file or the directory now have no offset; those about a record keep theirs. The message is checked in FoundsOnlyInAnEmptyDirectory, seen failing before.

--- a/almondward/store_open.c
+++ b/almondward/store_open.c
@@ -27,6 +27,19 @@
 	return error;
 }
 
+/*
+ * For a whole file, or for the directory when name is "".
+ */
+static enum store_error explain_file(const struct error_text *out,
+				     enum store_error error, const char *dir,
+				     const char *name, const char *cause)
+{
+	if (out->bytes)
+		snprintf(out->text, out->bytes, "%s%s%s: %s", dir,
+			 *name ? "/" : "", name, cause);
+	return error;
+}
+
 static enum store_error explain_errno(const struct error_text *out,
 				      enum store_error error, const char *dir,
 				      const char *name)
@@ -389,19 +402,20 @@
 	enum store_error error;
 
 	if (!is_empty(store))
-		return explain(out, STORE_ERR_CORRUPT, store->dir,
-			       STORE_HARD_STATE_NAME, 0,
-			       "missing although the directory is in use; an "
-			       "interrupted init must be repeated on an empty "
-			       "directory");
+		return explain_file(
+			out, STORE_ERR_CORRUPT, store->dir,
+			STORE_HARD_STATE_NAME,
+			"missing although the directory is in use; an "
+			"interrupted init must be repeated on an empty "
+			"directory");
 	error = open_log(store, out);
 	if (error)
 		return error;
 	store->incarnation = random_id();
 	error = store_save_hard_state(store, 0, "", 0);
 	if (error)
-		explain(out, error, store->dir, STORE_HARD_STATE_NAME, 0,
-			"cannot be written");
+		explain_file(out, error, store->dir, STORE_HARD_STATE_NAME,
+			     "cannot be written");
 	return error;
 }
 
@@ -412,8 +426,8 @@
 
 	file_bytes(store, STORE_LOG_NAME, &log_exists);
 	if (!log_exists)
-		return explain(out, STORE_ERR_CORRUPT, store->dir,
-			       STORE_LOG_NAME, 0, "missing");
+		return explain_file(out, STORE_ERR_CORRUPT, store->dir,
+				    STORE_LOG_NAME, "missing");
 	error = open_log(store, out);
 	if (!error)
 		error = load_snapshot(store, out);
@@ -487,8 +501,8 @@
 		return error;
 	remove_temporary(store);
 	if (!is_empty(store)) {
-		error = explain(&out, STORE_ERR_NOT_EMPTY, dir, "", 0,
-				"the directory is not empty");
+		error = explain_file(&out, STORE_ERR_NOT_EMPTY, dir, "",
+				     "the directory is not empty");
 		goto out;
 	}
 	error = open_log(store, &out);
@@ -509,7 +523,7 @@
 	if (!error)
 		error = store_save_hard_state(store, 1, "", random_id());
 	if (error)
-		explain(&out, error, dir, "", 0, "cannot be written");
+		explain_file(&out, error, dir, "", "cannot be written");
 out:
 	store_close(store);
 	return error;
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -140,6 +140,7 @@
 	EXPECT_EQ(STORE_ERR_NOT_EMPTY,
 		  store_found(disk.dir.c_str(), "a", disk.io(), text,
 			      sizeof(text)));
+	EXPECT_EQ(disk.dir + ": the directory is not empty", text);
 	ASSERT_EQ(STORE_OK, open()) << text;
 	EXPECT_NE(0u, store_cluster_id(store));
 	ASSERT_EQ(1u, store_last_index(store));
