Let a new fleet start at configuration version 1

An operation says "any version" by 0, and a new fleet was at version 0, so control checked that case itself and had a stale first change refused with "not". A new fleet now has version 1 and the first change makes it 2; the exception in control is gone. An explicit "any" in the proto was ruled out: it would add a second way to say the same.

--- a/almondward/cli_args.c
+++ b/almondward/cli_args.c
@@ -147,10 +147,11 @@
 		return CLI_DONE;
 	}
 	if (!len_bytes || len_bytes > 20 ||
-	    strspn(text, "0123456789") != len_bytes)
+	    strspn(text, "0123456789") != len_bytes ||
+	    strspn(text, "0") == len_bytes)
 		return cli_fail(cli, CLI_USAGE,
 				"--version-expected \"%s\" must be a "
-				"configuration version or any",
+				"configuration version, from 1, or any",
 				text);
 	memcpy(cli->if_match, text, len_bytes + 1);
 	return CLI_DONE;
--- a/almondward/control_http.c
+++ b/almondward/control_http.c
@@ -194,13 +194,15 @@
 		end_call(ctl->http_calls);
 }
 
-static bool read_version(const char *text, uint64_t *version, bool *any)
+/*
+ * Sets *version to 0 for any version; no configuration has that number.
+ */
+static bool read_version(const char *text, uint64_t *version)
 {
 	char *end;
 
-	*any = !strcmp(text, "*");
 	*version = 0;
-	if (*any)
+	if (!strcmp(text, "*"))
 		return true;
 	if (*text == '"')
 		text++;
@@ -210,21 +212,7 @@
 	*version = strtoull(text, &end, 10);
 	if (*end == '"')
 		end++;
-	return !errno && !*end;
-}
-
-/*
- * An operation says "any version" by 0, so the version 0 of a fleet that was
- * never configured is checked here: it holds for the first change only.
- */
-static uint64_t expected_version(const struct ctl *ctl, uint64_t version,
-				 bool any)
-{
-	if (any || version)
-		return version;
-	if (!fleet_config(ctl->fleet)->version && !ctl->http_calls)
-		return 0;
-	return UINT64_MAX;
+	return !errno && !*end && *version;
 }
 
 static bool id_valid(const char *id)
@@ -304,7 +292,6 @@
 	char text[REASON_BYTES_MAX];
 	uint64_t version;
 	Aw__Op *op;
-	bool any;
 
 	if (!id || !match) {
 		respond_error(ctl, exchange, 428, "precondition_required",
@@ -313,7 +300,7 @@
 			      true);
 		return;
 	}
-	if (!id_valid(id) || !read_version(match, &version, &any)) {
+	if (!id_valid(id) || !read_version(match, &version)) {
 		respond_error(ctl, exchange, 400, "invalid",
 			      "Almondward-Operator-Request has 1 to 64 visible "
 			      "characters, If-Match a version or *",
@@ -330,7 +317,7 @@
 		aw__op__free_unpacked(op, NULL);
 		return;
 	}
-	op->expected_version = expected_version(ctl, version, any);
+	op->expected_version = version;
 	op->operator_request_id = strdup(id);
 	if (!op->operator_request_id) {
 		op->operator_request_id = (char *)protobuf_c_empty_string;
--- a/almondward/fleet.c
+++ b/almondward/fleet.c
@@ -72,11 +72,13 @@
 
 struct fleet *fleet_create(void)
 {
-	const Aw__Config empty = AW__CONFIG__INIT;
+	Aw__Config empty = AW__CONFIG__INIT;
 	struct fleet *fleet = calloc(1, sizeof(*fleet));
 
 	if (!fleet)
 		return NULL;
+	/* An operation says "any version" by 0. */
+	empty.version = 1;
 	fleet->config = fleet_copy(&empty.base);
 	if (!fleet->config) {
 		free(fleet);
--- a/almondward/fleet.h
+++ b/almondward/fleet.h
@@ -49,7 +49,7 @@
 uint64_t fleet_state_version(const struct fleet *fleet);
 
 /*
- * Never NULL; an empty configuration at first. Valid until the next apply.
+ * Never NULL; an empty configuration of version 1 at first. Valid until the next apply.
  */
 const Aw__Config *fleet_config(const struct fleet *fleet);
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -371,7 +371,7 @@
             self.status()["voters"]) == len(self.control_names))
         path = self.dir / "fleet.yaml"
         path.write_text(self.config)
-        self.cli("config", "apply", str(path), "--version-expected", "0")
+        self.cli("config", "apply", str(path), "--version-expected", "1")
         for customer in keys:
             self.grant(customer, f"{customer}-1")
         for name in self.entry_names:
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -667,7 +667,7 @@
 	EXPECT_EQ(1u, state->n_keys);
 	EXPECT_EQ(1u, state->n_drains);
 	EXPECT_EQ(1u, state->config->n_customers);
-	EXPECT_EQ(3u, state->config->version);
+	EXPECT_EQ(4u, state->config->version);
 	EXPECT_EQ(3u, state->state_version);
 	EXPECT_EQ(0u, state->n_claims);
 	EXPECT_EQ(0u, state->n_results);
@@ -675,6 +675,16 @@
 	buf_release(&buf);
 }
 
+// The version of a new fleet was 0, which an operation takes for "any": of two
+// first changes with equal version numbers both won.
+TEST_F(Fleet, FirstChangeCanExpectAVersion)
+{
+	expected_version = version();
+	EXPECT_EQ(AW__OP_CODE__OP_DONE, config({ "c1" }));
+	EXPECT_EQ(AW__OP_CODE__OP_VERSION_CONFLICT, config({ "c2" }));
+	EXPECT_STREQ("the version is 2, not 1", result->detail);
+}
+
 // An operation out of order would make this instance differ from the others.
 TEST_F(Fleet, RefusesAnIndexOutOfOrder)
 {
