Keep wall clocks out of the replicated time

Each operation carried the wall clock of the leader. The time of an operation is now the one applied last plus what has passed on the own monotonic clock since; the wall clock is read only until the first operation with a time is applied. The reference moves only forward: resetting it at each applied operation would lose the time of every commit. A restart or a change of leader may lose time but gains none.

--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -287,7 +287,7 @@
 {
   ProtobufCMessage base;
   /*
-   * changes by one with each accepted change
+   * 1 at first, grows by one with each accepted change
    */
   uint64_t version;
   size_t n_zones;
@@ -587,7 +587,7 @@
 {
   ProtobufCMessage base;
   /*
-   * leader's wall clock, never decreases when applied
+   * replicated time, never decreases when applied
    */
   uint64_t time_ms;
   /*
--- a/almondward/clock.h
+++ b/almondward/clock.h
@@ -34,6 +34,11 @@
  */
 uint64_t clk_wall_ms(const struct clk *clk);
 
+/*
+ * Steps the wall time of a paused clock. No effect on the system clock.
+ */
+void clk_step_wall_ms(struct clk *clk, int64_t delta_ms);
+
 /*
  * Moves a paused clock. Has no effect on the system clock.
  */
--- a/almondward/control_internal.h
+++ b/almondward/control_internal.h
@@ -55,6 +55,12 @@
 	struct ctl_link *prev, *next;
 };
 
+/* The replicated time as known here. */
+struct ctl_time {
+	uint64_t time_ms; /* 0: nothing that has a time was applied */
+	uint64_t at_ms; /* own clock when it was time_ms */
+};
+
 struct ctl {
 	const struct set_settings *settings;
 	struct clk *clk;
@@ -71,6 +77,7 @@
 	struct ctl_call *calls; /* by index */
 	struct ctl_peer_call *peer_calls;
 	struct ctl_http_call *http_calls;
+	struct ctl_time time;
 	struct soft *soft; /* of this leadership, or NULL */
 	uint64_t soft_term;
 	struct soft_handover handover; /* received, for the next term */
@@ -120,6 +127,19 @@
 Aw__ProposeStatus ctl_propose(struct ctl *ctl, Aw__Op *op, uint64_t limit_ms,
 			      ctl_done_fn done, void *arg);
 
+/*
+ * Time for the next operation: the replicated time as last applied and what
+ * has passed here since. It never gains on the time that passed, so a step of
+ * a wall clock ends no claim; the wall clock decides only while nothing with a
+ * time was applied.
+ */
+uint64_t ctl_time_ms(const struct ctl *ctl);
+
+/*
+ * To be called when operations or a snapshot were applied.
+ */
+void ctl_time_applied(struct ctl *ctl);
+
 /*
  * Ends the call that waits for this entry. result is NULL for a voter entry.
  */
--- a/almondward/control_propose.c
+++ b/almondward/control_propose.c
@@ -45,6 +45,27 @@
 	}
 }
 
+uint64_t ctl_time_ms(const struct ctl *ctl)
+{
+	if (!ctl->time.time_ms)
+		return clk_wall_ms(ctl->clk);
+	return ctl->time.time_ms + (clk_now_ms(ctl->clk) - ctl->time.at_ms);
+}
+
+/*
+ * An applied time that is behind is one that took its time to be committed;
+ * it does not turn the time back.
+ */
+void ctl_time_applied(struct ctl *ctl)
+{
+	uint64_t applied_ms = fleet_time_ms(ctl->fleet);
+
+	if (ctl->time.time_ms && applied_ms <= ctl_time_ms(ctl))
+		return;
+	ctl->time.time_ms = applied_ms;
+	ctl->time.at_ms = clk_now_ms(ctl->clk);
+}
+
 Aw__ProposeStatus ctl_propose(struct ctl *ctl, Aw__Op *op, uint64_t limit_ms,
 			      ctl_done_fn done, void *arg)
 {
@@ -64,7 +85,7 @@
 	if (!call)
 		return refuse(ctl, AW__PROPOSE_STATUS__PROPOSE_REFUSED,
 			      "memory");
-	op->time_ms = clk_wall_ms(ctl->clk);
+	op->time_ms = ctl_time_ms(ctl);
 	status = append(ctl, op, &call->index, &call->term);
 	if (status != AW__PROPOSE_STATUS__PROPOSE_APPLIED) {
 		free(call);
--- a/almondward/control_raft.c
+++ b/almondward/control_raft.c
@@ -52,6 +52,7 @@
 				      "a committed entry is out of order");
 		return;
 	}
+	ctl_time_applied(ctl);
 	ctl_applied(ctl, entry->index, entry->term, result);
 	aw__op_result__free_unpacked(result, NULL);
 }
@@ -91,6 +92,7 @@
 			  (unsigned long long)fleet_applied_index(ctl->fleet));
 		return -1;
 	}
+	ctl_time_applied(ctl);
 	return 0;
 }
 
--- a/almondward/fleet.c
+++ b/almondward/fleet.c
@@ -254,6 +254,11 @@
 	return fleet->applied_index;
 }
 
+uint64_t fleet_time_ms(const struct fleet *fleet)
+{
+	return fleet->time_ms;
+}
+
 uint64_t fleet_state_version(const struct fleet *fleet)
 {
 	return fleet->state_version;
--- a/almondward/fleet.h
+++ b/almondward/fleet.h
@@ -43,6 +43,11 @@
 
 uint64_t fleet_applied_index(const struct fleet *fleet);
 
+/*
+ * Replicated time, 0 before the first operation that has one.
+ */
+uint64_t fleet_time_ms(const struct fleet *fleet);
+
 /*
  * Log index of the last change that entry instances need.
  */
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -60,6 +60,10 @@
 		{ frame->propose_reply->call, frame->propose_reply->status });
 	return LOOP_OK;
 }
+uint64_t fleet_time_ms(const struct fleet *fleet)
+{
+	return *(const uint64_t *)fleet;
+}
 Aw__Role peer_link_role(const struct peer_link *link)
 {
 	return *(const Aw__Role *)link;
@@ -398,6 +402,57 @@
 	clk_destroy(clk);
 }
 
+// ---- replicated time ----
+
+// A wall clock that stepped a day ahead ended all claims at once, so that a
+// request could run twice.
+TEST(Time, FollowsWhatPassedAndNoWallClock)
+{
+	const uint64_t day_ms = 86400000, start_ms = 100000000;
+	struct ctl old = {}, next = {};
+	Aw__Op op;
+	Aw__OpNoop noop;
+	uint64_t applied_ms = 0, last_ms = 0, passed_ms = 0;
+
+	aw__op__init(&op);
+	aw__op_noop__init(&noop);
+	op.body_case = AW__OP__BODY_NOOP;
+	op.noop = &noop;
+	for (struct ctl *ctl : { &old, &next }) {
+		ctl->clk = clk_create_paused(start_ms);
+		ctl->fleet = (struct fleet *)&applied_ms;
+	}
+	// The clock of the next leader is a day ahead.
+	clk_step_wall_ms(next.clk, (int64_t)day_ms);
+	for (int i = 0; i < 40; i++) {
+		struct ctl *leader = i < 20 ? &old : &next;
+
+		EXPECT_EQ(AW__PROPOSE_STATUS__PROPOSE_APPLIED,
+			  ctl_propose(
+				  leader, &op, 0,
+				  [](void *, Aw__ProposeStatus,
+				     const Aw__OpResult *) {},
+				  NULL));
+		EXPECT_GE(op.time_ms, last_ms);
+		EXPECT_LE(op.time_ms, start_ms + passed_ms) << i;
+		// Two commits, of 100 ms each, are the most that is lost.
+		EXPECT_GE(op.time_ms + 200, start_ms + passed_ms) << i;
+		last_ms = op.time_ms;
+		applied_ms = op.time_ms;
+		for (struct ctl *ctl : { &old, &next }) {
+			clk_advance_ms(ctl->clk, 100);
+			clk_step_wall_ms(ctl->clk,
+					 i % 2 ? (int64_t)day_ms :
+						 -(int64_t)day_ms / 2);
+			ctl_time_applied(ctl);
+		}
+		passed_ms += 100;
+		ctl_calls_unknown(leader);
+	}
+	clk_destroy(old.clk);
+	clk_destroy(next.clk);
+}
+
 // ---- proposals ----
 
 struct ProposeCase : testing::Test {
