--- a/almondward/fleet.c
+++ b/almondward/fleet.c
@@ -72,11 +72,13 @@
 
 struct fleet *fleet_create(void)
 {
-	const Aw__Config empty = AW__CONFIG__INIT;
+	Aw__Config empty = AW__CONFIG__INIT;
 	struct fleet *fleet = calloc(1, sizeof(*fleet));
 
 	if (!fleet)
 		return NULL;
+	/* An operation says "any version" by 0. */
+	empty.version = 1;
 	fleet->config = fleet_copy(&empty.base);
 	if (!fleet->config) {
 		free(fleet);
@@ -252,6 +254,11 @@
 	return fleet->applied_index;
 }
 
+uint64_t fleet_time_ms(const struct fleet *fleet)
+{
+	return fleet->time_ms;
+}
+
 uint64_t fleet_state_version(const struct fleet *fleet)
 {
 	return fleet->state_version;
--- a/almondward/fleet.h
+++ b/almondward/fleet.h
@@ -43,13 +43,18 @@
 
 uint64_t fleet_applied_index(const struct fleet *fleet);
 
+/*
+ * Replicated time, 0 before the first operation that has one.
+ */
+uint64_t fleet_time_ms(const struct fleet *fleet);
+
 /*
  * Log index of the last change that entry instances need.
  */
 uint64_t fleet_state_version(const struct fleet *fleet);
 
 /*
- * Never NULL; an empty configuration at first. Valid until the next apply.
+ * Never NULL; an empty configuration of version 1 at first. Valid until the next apply.
  */
 const Aw__Config *fleet_config(const struct fleet *fleet);
 
