Wait out short refusals of the leader for a token

An entry instance refused with 429 at once whenever the leader answered retry_after_ms, also when that was short, for example just after a change of the leader, when the bucket starts empty. Customers within their rate were refused.

A request now waits when retry_after_ms is at most 250 ms and ends before admission_wait_ms and the deadline, and when fewer requests of its customer wait here than the rate serves in 250 ms (at least one). All others are refused at once with the time to come back. The bound stays in force between the end of the refusal and the leader's next answer, as long as requests that were refused before still wait; the time to come back is then that in which the rate serves them. A request whose admission_wait_ms ends after a refusal gets "rate" rather than "rate_unknown". Customers do not share a bound, and a request keeps its place in the list, so the list is scanned only for an arriving request or when a refusal comes in.

--- a/almondward/entry_admission.c
+++ b/almondward/entry_admission.c
@@ -11,6 +11,11 @@
 
 #define OPEN_CUSTOMER "-"
 #define RESERVED_PATH "/almondward"
+/*
+ * A shorter refusal is waited out: after a change of the leader the buckets
+ * start empty, and customers within their rate would be refused.
+ */
+#define REFUSAL_WAIT_MAX_MS 250
 
 static const char *header(const struct request *request, const char *name)
 {
@@ -79,6 +84,7 @@
 	snprintf(request->customer, sizeof(request->customer), "%s",
 		 customer->name);
 	request->weight = customer->weight;
+	request->rate_per_s = customer->rate_per_s;
 	return REFUSAL_NONE;
 }
 
@@ -330,12 +336,8 @@
 static void wait_for_token(struct request *request)
 {
 	struct core *core = request->core;
-	uint64_t wait_ms = request->policies.value[CFG_ADMISSION_WAIT_MS];
 
 	request->step = STEP_ADMISSION;
-	request->wait_until_ms = core_now_ms(core) + wait_ms;
-	if (request->wait_until_ms > request->deadline_ms)
-		request->wait_until_ms = request->deadline_ms;
 	DL_APPEND2(core->waiting, request, prev_waiting, next_waiting);
 	tell_waiting(request);
 }
@@ -346,11 +348,73 @@
 		       "the customer's rate and burst are used up");
 }
 
+/*
+ * Requests of the same customer that wait before this one. refused is set if
+ * one of them waits after a refusal.
+ */
+static uint64_t count_before(const struct request *request, bool *refused)
+{
+	const struct request *one = request->core->waiting;
+	uint64_t nr = 0;
+
+	*refused = false;
+	for (; one && one != request; one = one->next_waiting) {
+		if (strcmp(one->customer, request->customer) != 0)
+			continue;
+		nr++;
+		*refused |= one->rate_refused;
+	}
+	return nr;
+}
+
+static bool fits_before(const struct request *request, uint64_t nr)
+{
+	uint64_t max = (uint64_t)request->rate_per_s * REFUSAL_WAIT_MAX_MS;
+
+	return !nr || nr < max / 1000;
+}
+
+/*
+ * Time that the customer's rate takes for nr requests.
+ */
+static uint64_t refill_ms(const struct request *request, uint64_t nr)
+{
+	return request->rate_per_s ? 1 + nr * 1000 / request->rate_per_s : 1000;
+}
+
+/*
+ * Returns 0 if the request may wait for a token, else the time after which to
+ * come back. After a short refusal as many may wait as the rate serves in
+ * REFUSAL_WAIT_MAX_MS, so that a customer above its rate is refused at once.
+ */
+static uint64_t refused_for_ms(struct request *request, uint64_t now_ms)
+{
+	uint64_t wait_ms = agent_retry_after_ms(
+		request->core->agent, AW__BUCKET_KIND__BUCKET_CUSTOMER,
+		request->customer);
+	uint64_t nr;
+	bool refused;
+
+	if (wait_ms > REFUSAL_WAIT_MAX_MS ||
+	    (wait_ms && now_ms + wait_ms >= request->wait_until_ms))
+		return wait_ms;
+	/* Those that wait keep their places: only requests before them leave. */
+	if (request->rate_refused || (!wait_ms && request->prev_waiting))
+		return 0;
+	nr = count_before(request, &refused);
+	if (!wait_ms && !refused)
+		return 0;
+	if (!fits_before(request, nr))
+		return wait_ms ? wait_ms : refill_ms(request, nr);
+	request->rate_refused = true;
+	return 0;
+}
+
 void admission_begin(struct request *request)
 {
 	struct core *core = request->core;
 	enum refusal refusal = check(request);
-	uint64_t wait_ms;
+	uint64_t now_ms = core_now_ms(core), wait_ms;
 
 	if (refusal) {
 		finish_refusal(request, refusal, retry_after_ms(refusal),
@@ -366,9 +430,11 @@
 		admitted(request);
 		return;
 	}
-	wait_ms = agent_retry_after_ms(core->agent,
-				       AW__BUCKET_KIND__BUCKET_CUSTOMER,
-				       request->customer);
+	request->wait_until_ms =
+		now_ms + request->policies.value[CFG_ADMISSION_WAIT_MS];
+	if (request->wait_until_ms > request->deadline_ms)
+		request->wait_until_ms = request->deadline_ms;
+	wait_ms = refused_for_ms(request, now_ms);
 	if (wait_ms)
 		refuse_rate(request, wait_ms);
 	else
@@ -391,11 +457,17 @@
 		admitted(request);
 		return;
 	}
-	wait_ms = agent_retry_after_ms(core->agent,
-				       AW__BUCKET_KIND__BUCKET_CUSTOMER,
-				       request->customer);
-	if (!wait_ms && now_ms < request->wait_until_ms)
-		return;
+	if (now_ms < request->wait_until_ms) {
+		wait_ms = refused_for_ms(request, now_ms);
+		if (!wait_ms)
+			return;
+	} else {
+		wait_ms = agent_retry_after_ms(core->agent,
+					       AW__BUCKET_KIND__BUCKET_CUSTOMER,
+					       request->customer);
+		if (!wait_ms && request->rate_refused)
+			wait_ms = refill_ms(request, 1);
+	}
 	if (wait_ms)
 		refuse_rate(request, wait_ms);
 	else if (now_ms >= request->deadline_ms)
--- a/almondward/entry_internal.h
+++ b/almondward/entry_internal.h
@@ -81,6 +81,7 @@
 	enum refusal failure; /* final answer if there is no retry */
 	enum refusal send_refusal; /* found just before the first byte */
 	uint32_t weight;
+	uint32_t rate_per_s; /* of the customer */
 	uint32_t draw_permille;
 	uint32_t nr_attempts;
 	uint32_t nr_sent; /* attempts of which a byte left */
@@ -89,6 +90,7 @@
 	bool open;
 	bool idempotent;
 	bool claimed;
+	bool rate_refused; /* waits for a token after a short refusal */
 	bool byte_left; /* in any attempt */
 	bool server_left; /* found just before the first byte */
 
