Name at most four instances of each group in a look-up

The answer listed every entry instance: 59 bytes each, 214 KB and 107 MB/s for each daemon calculated at 3,600 (make capacity). Ruled out: a shorter form of the same list, which still grows. A caller needs a few near ones and some that survive its zone and its region. 30 instances in three zones: 30 named before, 12 after; the new test was seen failing. Ranking still looks at every instance.

--- a/almondward/lookup.c
+++ b/almondward/lookup.c
@@ -9,9 +9,11 @@
 
 #include "config.h"
 
+enum group { GROUP_ZONE, GROUP_REGION, GROUP_OTHER, GROUP_COUNT };
+
 struct ranked {
 	const Aw__Instance *instance;
-	uint32_t group;
+	enum group group;
 	uint64_t spread;
 };
 
@@ -26,17 +28,18 @@
 	return strcmp(left->instance->name, right->instance->name);
 }
 
-static uint32_t group_of(const Aw__Config *config, const char *client_zone,
-			 const char *zone)
+static enum group group_of(const Aw__Config *config, const char *client_zone,
+			   const char *zone)
 {
 	const char *client_region, *region;
 
 	if (!strcmp(client_zone, zone))
-		return 0;
+		return GROUP_ZONE;
 	client_region = cfg_region_of_zone(config, client_zone);
 	region = cfg_region_of_zone(config, zone);
-	return client_region && region && !strcmp(client_region, region) ? 1 :
-									   2;
+	if (client_region && region && !strcmp(client_region, region))
+		return GROUP_REGION;
+	return GROUP_OTHER;
 }
 
 /*
@@ -104,6 +107,7 @@
 			    struct buf *out)
 {
 	const char *client_zone;
+	uint32_t nr_named[GROUP_COUNT] = { 0 };
 	struct ranked *ranked;
 	enum look_error error = LOOK_ERR_MEMORY;
 	cJSON *root = NULL, *list;
@@ -126,6 +130,8 @@
 	if (!list)
 		goto out;
 	for (i = 0; i < nr; i++) {
+		if (nr_named[ranked[i].group]++ >= LOOK_GROUP_MAX)
+			continue;
 		if (!add_instance(list, ranked[i].instance))
 			goto out;
 	}
--- a/almondward/lookup.h
+++ b/almondward/lookup.h
@@ -17,6 +17,13 @@
 extern "C" {
 #endif
 
+/*
+ * Instances named of the client's zone, of its region, and of other regions,
+ * each. A caller that lost a zone or a region finds the next one in its list,
+ * and the answer does not grow with the fleet.
+ */
+#define LOOK_GROUP_MAX 4
+
 struct look_question {
 	const struct view *view;
 	const Aw__Instance *const *instances; /* as the leader listed them */
@@ -32,7 +39,7 @@
 
 /*
  * Appends {"ttl_s", "instances": [...]}: the client's zone, then its region,
- * then others. Within a group the order differs by client, so that the clients
+ * then others, at most LOOK_GROUP_MAX of each. Within a group the order differs by client, so that the clients
  * of a zone spread over its instances, and is the same at every instance.
  */
 enum look_error look_answer(const struct look_question *question,
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -148,6 +148,48 @@
 	view_destroy(view);
 }
 
+// The answer grew with the fleet: 214 KB were calculated for 3,600 instances.
+TEST(Lookup, NamesAFewOfEachGroup)
+{
+	StateFake fake;
+
+	fake.zone("z1", "r1");
+	fake.zone("z2", "r1");
+	fake.zone("z3", "r2");
+	struct view *view = view_create(fake.state());
+	std::vector<std::string> names;
+	std::vector<Aw__Instance> instances(30);
+	std::vector<const Aw__Instance *> list;
+	const char *zones[] = { "z1", "z2", "z3" };
+
+	for (int i = 0; i < 30; i++)
+		names.push_back("n" + std::to_string(i) + zones[i % 3]);
+	for (int i = 0; i < 30; i++) {
+		instances[i] = AW__INSTANCE__INIT;
+		instances[i].name = &names[i][0];
+		instances[i].zone = (char *)zones[i % 3];
+		instances[i].address = (char *)"127.0.0.1:1";
+		list.push_back(&instances[i]);
+	}
+	struct look_question question = { view,	      list.data(), 30,
+					  "10.0.0.1", "self",	   "z1",
+					  false,      10 };
+	struct buf out = BUF_INIT;
+
+	ASSERT_EQ(LOOK_OK, look_answer(&question, &out));
+	std::string text((char *)out.data, out.len_bytes);
+	for (const char *zone : zones) {
+		size_t nr = 0, pos = 0;
+		std::string end = std::string(zone) + "\",\"zone";
+
+		while ((pos = text.find(end, pos + 1)) != std::string::npos)
+			nr++;
+		EXPECT_EQ(4u, nr) << zone;
+	}
+	buf_release(&out);
+	view_destroy(view);
+}
+
 TEST(Lookup, OrdersByDistanceAndOmitsLeavingAndSelf)
 {
 	StateFake fake;
