Test a drained zone with real processes

Drains had unit tests and a load scenario only. Two operators plan the same drain at once: exit codes 0 and 1.

--- a/tests/process_control.py
+++ b/tests/process_control.py
@@ -212,6 +212,46 @@
     wait_serving(fleet)
 
 
+def drains(fleet):
+    answer = fleet.operator(fleet.leader(), "GET", "/v1/drains")
+    return {d["name"]: d for d in answer.json()["drains"]}
+
+
+def drained_zone(fleet):
+    """A drained zone gets no work, moves no faster than its cap, comes back."""
+    server = next(s for s in fleet.servers
+                  if s.upstream == "lookup" and s.zone == "b1")
+    plan = ("drain", "plan", "move-b1", "--kind", "zone", "--target", "b1",
+            "--ramp-s", "2", "--reason", "Planned work in zone b1.")
+    results = []
+    threads = [threading.Thread(target=lambda: results.append(
+        fleet.cli_run(*plan))) for _ in range(2)]
+    start = time.monotonic()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    codes = sorted(r.returncode for r in results)
+    assert codes == [0, 1], [(r.returncode, r.stderr) for r in results]
+    fleetlib.wait_until("drained", lambda: drains(fleet)["move-b1"][
+        "share_permille"] == 1000, 20)
+    elapsed = time.monotonic() - start
+    # Half of the upstream moves, at most 100 permille of it a second; the
+    # first step may come at once.
+    assert elapsed >= 4.0, elapsed
+    time.sleep(1)
+    before = fleet.server_stats(server)["requests"]
+    for i in range(30):
+        answer = serve(fleet, fleet.entry_names[i % len(fleet.entry_names)])
+        assert answer.status == 200, answer
+    assert fleet.server_stats(server)["requests"] == before
+    fleet.cli("drain", "cancel", "move-b1")
+    fleetlib.wait_until("zone used again", lambda: [
+        serve(fleet, "entry-2") for _ in range(5)] and
+        fleet.server_stats(server)["requests"] > before, 20)
+    print(f"drained zone: {elapsed:.1f} s for half of the upstream")
+
+
 def no_majority_accepts_nothing(fleet):
     """One of three instances alone must accept nothing and end the leases."""
     for name in fleet.control_names[:2]:
@@ -235,7 +275,7 @@
                      accepted_change_survives_leader,
                      isolated_leader_serves_nothing, racing_operators,
                      lost_disk_then_second_loss,
-                     hundreds_of_changes_then_restart,
+                     hundreds_of_changes_then_restart, drained_zone,
                      no_majority_accepts_nothing):
             checks.run(case.__name__, case, fleet)
         if checks.failed:
