Listen to callers only from the first lease on

Ruled out: a slow first lease; it comes with the first Grant. A refused connection sends the caller to the next instance of its list. The new process test failed before (503 no_lease) and passes.

--- a/almondward/entry.c
+++ b/almondward/entry.c
@@ -50,6 +50,7 @@
 	struct answers answers;
 	uint64_t incarnation; /* of this process start */
 	enum stage stage;
+	bool failed;
 	uint64_t leave_until_ms;
 	uint64_t quiet_since_ms; /* no request runs, 0: some do */
 	uint64_t config_version;
@@ -141,11 +142,21 @@
 	return largest;
 }
 
+static bool listen_to_callers(struct entry *entry);
+
 static void agent_changed(void *arg)
 {
 	struct entry *entry = arg;
 	const Aw__Config *config = view_config(agent_view(entry->agent));
 
+	if (!entry->callers && entry->stage == STAGE_RUNNING &&
+	    agent_lease_ok(entry->agent) && !listen_to_callers(entry)) {
+		entry->failed = true;
+		loop_stop(entry->loop);
+		return;
+	}
+	if (!entry->callers)
+		return;
 	if (config && config->version != entry->config_version) {
 		entry->config_version = config->version;
 		http_server_set_body_max(entry->callers,
@@ -242,7 +253,8 @@
 {
 	entry->stage = STAGE_DRAINING;
 	log_info("entry", "finishing %zu requests", core_active(entry->core));
-	http_server_drain(entry->callers, true);
+	if (entry->callers)
+		http_server_drain(entry->callers, true);
 }
 
 /*
@@ -279,6 +291,10 @@
 		begin_draining(entry);
 	if (entry->stage != STAGE_DRAINING)
 		return;
+	if (!entry->callers) {
+		loop_stop(entry->loop);
+		return;
+	}
 	if (core_active(entry->core) || http_server_active(entry->callers)) {
 		entry->quiet_since_ms = 0;
 		return;
@@ -385,7 +401,11 @@
 	return false;
 }
 
-static bool listen_all(struct entry *entry)
+/*
+ * Done with the first lease: until then every request would be refused, while
+ * a caller whose connection is refused uses the next instance of its list.
+ */
+static bool listen_to_callers(struct entry *entry)
 {
 	const struct set_settings *settings = entry->settings;
 	struct http_server_settings callers = {
@@ -393,14 +413,24 @@
 		.body_memory_bytes = settings->body_memory_bytes,
 		.connections_max = settings->connections_max,
 	};
+
+	if (!listen_on(entry, settings->listen_callers, &callers, handle_caller,
+		       &entry->callers))
+		return false;
+	log_info("entry", "instance \"%s\" in zone \"%s\" serves callers on %s",
+		 settings->name, settings->zone, settings->listen_callers);
+	return true;
+}
+
+static bool listen_to_others(struct entry *entry)
+{
+	const struct set_settings *settings = entry->settings;
 	struct http_server_settings small = {
 		.body_max_bytes = SMALL_BODY_BYTES,
 		.connections_max = SMALL_CONNECTIONS_MAX,
 	};
 
-	return listen_on(entry, settings->listen_callers, &callers,
-			 handle_caller, &entry->callers) &&
-	       listen_on(entry, settings->listen_servers, &small, handle_server,
+	return listen_on(entry, settings->listen_servers, &small, handle_server,
 			 &entry->servers) &&
 	       listen_on(entry, settings->listen_operators, &small,
 			 handle_operator, &entry->operators);
@@ -469,7 +499,7 @@
 		log_error("entry", "no memory, or no event loop");
 		goto out;
 	}
-	if (!listen_all(&entry))
+	if (!listen_to_others(&entry))
 		goto out;
 	if (!connect_controls(&entry) ||
 	    loop_on_stop_signal(entry.loop, stop_signal, &entry)) {
@@ -477,11 +507,9 @@
 		goto out;
 	}
 	loop_timer_set(entry.timer, TICK_MS);
-	log_info("entry", "instance \"%s\" in zone \"%s\" serves callers on %s",
-		 settings->name, settings->zone, settings->listen_callers);
 	loop_run(entry.loop);
 	log_info("entry", "stopped");
-	status = 0;
+	status = entry.failed ? 1 : 0;
 out:
 	destroy(&entry);
 	return status;
--- a/tests/process_control.py
+++ b/tests/process_control.py
@@ -77,6 +77,23 @@
     print(f"withdrawn key: refused at the cut off instance after {elapsed:.2f} s")
 
 
+def instance_without_lease_does_not_listen(fleet):
+    """A starting instance must not take requests that it has to refuse."""
+    fleet.processes["entry-3"].kill()
+    cut(fleet, "entry-3")
+    fleet.start_instance("entry-3")
+    fleetlib.wait_until("operators' address answers", lambda: fleetlib.request(
+        fleet.operators["entry-3"], "GET", "/v1/health").status == 503, 5)
+    try:
+        answer = serve(fleet, "entry-3")
+    except ConnectionRefusedError:
+        answer = None
+    assert answer is None, answer
+    heal(fleet, "entry-3")
+    fleet.wait_ready("entry-3")
+    wait_serving(fleet)
+
+
 def withdrawn_key_at_frozen_instance(fleet):
     """A frozen instance must not run a request with what it knew before."""
     fleet.grant("han-frames", "han-frozen")
@@ -271,6 +288,7 @@
         fleet.start()
         fleet.start_servers(2)
         for case in (withdrawn_key_at_cut_off_instance,
+                     instance_without_lease_does_not_listen,
                      withdrawn_key_at_frozen_instance,
                      accepted_change_survives_leader,
                      isolated_leader_serves_nothing, racing_operators,
