pace: Send large bodies in parts, few at once

Cause: on the grown truss site a new connection took 20 to 170 ms to near servers and 400 to 560 ms from the region with most load, because the link of an entry instance (4 Mbit/s) was full of bodies of uploads and sends what it gets in order. Every request crosses it four times: 33,000 of 65,700 requests were in time by our log, 27,000 by the callers'.

Change: the bytes that wait at the link are estimated from its rate, a setting; large bodies go on in parts while few wait. Two are sent at once, the others wait for their turn before a server is chosen, since a server holds a slot from the first byte on.

Pace.SmallMessagesDoNotWaitBehindLargeBodies shows the wait without parts.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -257,6 +257,7 @@
 	gw->loop = loop_create(gw->clk);
 	if (!gw->loop)
 		return -1;
+	loop_set_link_rate(gw->loop, cluster->bounds.link_milli_mbit);
 	gw->tick_timer = loop_timer_create(gw->loop, tick, gw);
 	if (!gw->tick_timer || open_state(gw) ||
 	    open_server(gw, cluster->listen_callers, gw_on_request,
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -14,6 +14,7 @@
 #include "histogram.h"
 #include "http.h"
 #include "loop.h"
+#include "pace.h"
 #include "peer.h"
 #include "plan.h"
 #include "share.h"
@@ -88,6 +89,9 @@
 	struct gw_request *requests;
 	struct gw_backend *backends; /* connections to servers */
 	size_t nr_requests;
+	/* Large bodies: those being sent, and those that wait for their turn. */
+	struct gw_request *large; /* oldest first */
+	uint32_t nr_large_sent;
 
 	/* Links to control instances. */
 	struct gw_link *links;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -27,6 +27,12 @@
 /* The answer has to reach the caller before it gives up. */
 #define ANSWER_WAY_MS 10
 #define ANSWER_BYTES_MAX ((size_t)64 << 20)
+/* A server holds a slot from the first byte on, so of many large bodies for a
+ * slow link few are sent at once; with a single one a far server's small
+ * windows would leave the link idle. */
+#define LARGE_AT_ONCE 2
+/* A faster link sends a body of a megabyte within a tenth of a second. */
+#define SLOW_LINK_MILLI_MBIT 100000
 #define LEFT_MS_MAX 600000 /* without deadline and timeout */
 /* Callers wait out a refusal for lack of a plan or a server. */
 #define RETRY_AFTER_MS 500
@@ -65,6 +71,10 @@
 	uint64_t waits_since_ms;
 	struct gw_request *prev, *next;
 	struct gw_request *wait_prev, *wait_next;
+	/* A large body on a slow link. */
+	bool waits_for_link;
+	bool sends_large;
+	struct gw_request *large_prev, *large_next;
 };
 
 /*
@@ -133,6 +143,8 @@
 	struct gw *gw = request->gw;
 
 	stop_waiting(request);
+	if (request->waits_for_link)
+		DL_DELETE2(gw->large, request, large_prev, large_next);
 	DL_DELETE(gw->requests, request);
 	gw->nr_requests--;
 	free_names(request->regions, request->nr_regions);
@@ -244,6 +256,17 @@
 	request_free(request);
 }
 
+/*
+ * The body is handed over, or will not be.
+ */
+static void end_large(struct gw_request *request)
+{
+	if (!request->sends_large)
+		return;
+	request->sends_large = false;
+	request->gw->nr_large_sent--;
+}
+
 /*
  * The caller is gone: the server's work is of no use any more.
  */
@@ -255,6 +278,7 @@
 	gw_count(gw, "callers_left", request->conn ? "running" : "waiting");
 	if (request->conn) {
 		http_conn_destroy(request->conn);
+		end_large(request);
 		steer_ended(gw->steer, request->choice.server, &request->query,
 			    STEER_CANCELLED, &request->sending,
 			    &(struct steer_load){ .known = false });
@@ -268,6 +292,36 @@
 
 static void attempt(struct gw_request *request);
 
+static void send_next_large(struct gw *gw)
+{
+	while (gw->large && gw->nr_large_sent < LARGE_AT_ONCE) {
+		struct gw_request *request = gw->large;
+
+		DL_DELETE2(gw->large, request, large_prev, large_next);
+		request->waits_for_link = false;
+		attempt(request);
+	}
+}
+
+static void on_sent(void *arg)
+{
+	struct gw_request *request = arg;
+	struct gw *gw = request->gw;
+
+	end_large(request);
+	send_next_large(gw);
+}
+
+static bool is_large(const struct gw_request *request)
+{
+	const struct gw *gw = request->gw;
+
+	return gw->settings->cluster.bounds.link_milli_mbit &&
+	       gw->settings->cluster.bounds.link_milli_mbit <=
+		       SLOW_LINK_MILLI_MBIT &&
+	       request->req->body_bytes > PACE_LARGE_BYTES;
+}
+
 /*
  * Headers that the caller's Connection header names concern only its
  * connection.
@@ -385,6 +439,7 @@
 	struct steer_query *query = &request->query;
 
 	log_attempt(request, outcome, cause);
+	end_large(request);
 	if (query->nr_tried < STEER_TRIED_MAX)
 		query->tried[query->nr_tried++] = request->choice.server;
 	steer_ended(request->gw->steer, request->choice.server, query, outcome,
@@ -470,6 +525,7 @@
 		return;
 	}
 	log_attempt(request, STEER_SUCCESS, "");
+	end_large(request);
 	steer_ended(gw->steer, request->choice.server, &request->query,
 		    STEER_SUCCESS, &request->sending, &load);
 	request->choice.server = NULL;
@@ -549,6 +605,7 @@
 		.answer_max_bytes = ANSWER_BYTES_MAX,
 		.timeout_ms = forward.left_ms,
 		.is_mine = is_mine,
+		.sent = on_sent,
 		.done = on_done,
 		.arg = request,
 	};
@@ -561,6 +618,11 @@
 		request->gw, request->choice.server, &call,
 		request->query.idempotent ? IDLE_MAX_MS : IDLE_MAX_ONCE_MS,
 		&request->is_new);
+	if (request->conn && is_large(request) &&
+	    http_conn_sending(request->conn)) {
+		request->sends_large = true;
+		request->gw->nr_large_sent++;
+	}
 	return request->conn != NULL;
 }
 
@@ -828,7 +890,13 @@
 
 	if (upstream)
 		budget_admit(&upstream->budget, gw_now_ms(request->gw));
-	attempt(request);
+	if (!is_large(request) || request->gw->nr_large_sent < LARGE_AT_ONCE) {
+		attempt(request);
+		return;
+	}
+	request->waits_for_link = true;
+	DL_APPEND2(request->gw->large, request, large_prev, large_next);
+	gw_count(request->gw, "link_waits", "");
 }
 
 static void refuse_rate(struct gw_request *request, uint32_t wait_ms)
@@ -907,10 +975,27 @@
 	}
 }
 
+/*
+ * Requests whose time is up while they wait for the link have not run.
+ */
+static void end_link_waits(struct gw *gw)
+{
+	struct gw_request *request, *next;
+
+	DL_FOREACH_SAFE2(gw->large, request, next, large_next)
+	{
+		if (gw_now_ms(gw) >= request->limit_ms)
+			refuse(request, REFUSAL_QUEUE_FULL, RETRY_AFTER_MS);
+	}
+	send_next_large(gw);
+}
+
 void gw_request_tick(struct gw *gw)
 {
 	struct gw_customer *customer, *next;
 
+	end_link_waits(gw);
+
 	HASH_ITER(hh, gw->customers, customer, next)
 	{
 		end_waits(gw, customer);
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -194,6 +194,11 @@
 	 * used again then. May be NULL.
 	 */
 	bool (*is_mine)(void *arg, const struct http_response *response);
+	/*
+	 * Called when a request that http_conn_sending() told of is handed
+	 * over whole. May be NULL.
+	 */
+	void (*sent)(void *arg);
 	http_done_fn done;
 	void *arg;
 };
@@ -218,6 +223,11 @@
  */
 bool http_conn_responding(const struct http_conn *conn);
 
+/*
+ * Whether a part of the running request is not handed over to the system yet.
+ */
+bool http_conn_sending(const struct http_conn *conn);
+
 /*
  * Time that it took to establish the connection, 0 before.
  */
--- a/almondward/http_client.c
+++ b/almondward/http_client.c
@@ -296,12 +296,20 @@
 
 /* ---- events ---- */
 
+static void on_drained(void *arg, struct loop_conn *loop_conn)
+{
+	struct http_conn *conn = arg;
+
+	if (conn->state == CLIENT_WAITING && conn->call.sent &&
+	    !loop_conn_queued_bytes(loop_conn))
+		conn->call.sent(conn->call.arg);
+}
+
 static void on_opened(void *arg, struct loop_conn *loop_conn)
 {
 	struct http_conn *conn = arg;
 	enum http_result result;
 
-	(void)loop_conn;
 	conn->state = CLIENT_IDLE;
 	conn->idle_since_ms = clk_now_ms(loop_clock(conn->loop));
 	conn->connect_ms = (uint32_t)(conn->idle_since_ms - conn->created_ms);
@@ -310,6 +318,8 @@
 	result = send_request(conn);
 	if (result)
 		fail(conn, result);
+	else
+		on_drained(conn, loop_conn);
 }
 
 static void on_data(void *arg, struct loop_conn *loop_conn, const uint8_t *data,
@@ -346,6 +356,7 @@
 static const struct loop_conn_ops conn_ops = {
 	.opened = on_opened,
 	.data = on_data,
+	.drained = on_drained,
 	.closed = on_closed,
 };
 
@@ -407,6 +418,13 @@
 	return conn->busy && conn->any_byte;
 }
 
+bool http_conn_sending(const struct http_conn *conn)
+{
+	return conn->busy && (conn->state == CLIENT_CONNECTING ||
+			      (conn->state == CLIENT_WAITING &&
+			       loop_conn_queued_bytes(conn->loop_conn)));
+}
+
 uint32_t http_conn_connect_ms(const struct http_conn *conn)
 {
 	return conn->connect_ms;
--- a/almondward/loop.c
+++ b/almondward/loop.c
@@ -90,6 +90,11 @@
 	free(loop);
 }
 
+void loop_set_link_rate(struct loop *loop, uint32_t rate_milli_mbit)
+{
+	pace_init(&loop->pace, rate_milli_mbit);
+}
+
 void loop_run(struct loop *loop)
 {
 	loop->stopped = false;
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -41,6 +41,13 @@
  */
 struct loop *loop_create(struct clk *clk);
 
+/*
+ * Sends large bodies in parts, so that small messages do not wait behind them
+ * at the link. rate_milli_mbit: thousandths of a megabit per second, 0: no
+ * limit.
+ */
+void loop_set_link_rate(struct loop *loop, uint32_t rate_milli_mbit);
+
 /*
  * Closes what is still open; no callbacks run.
  */
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -44,7 +44,10 @@
 	size_t out_offset_bytes;
 	uint64_t sent_bytes;
 	size_t linger_queued_bytes;
-	struct loop_timer timer; /* connect timeout, later lingering */
+	struct loop_timer timer;
+	struct loop_timer pace_timer;
+	bool paced;
+		/* a large body waits for its next part */ /* connect timeout, later lingering */
 	uint32_t busy; /* callbacks that run */
 	bool dead; /* closed by the owner within a callback */
 	bool write_failed;
@@ -58,6 +61,7 @@
 static void conn_free(struct loop_conn *conn)
 {
 	loop_timer_release(&conn->timer);
+	loop_timer_release(&conn->pace_timer);
 	buf_release(&conn->out);
 	free(conn);
 }
@@ -144,6 +148,15 @@
 	conn_gone(conn, LOOP_CLOSE_ERROR);
 }
 
+static void on_pace_timer(void *arg)
+{
+	struct loop_conn *conn = arg;
+
+	conn->paced = false;
+	if (!conn->dead && conn->wsi)
+		lws_callback_on_writable(conn->wsi);
+}
+
 static int set_options(int fd)
 {
 	unsigned int timeout_ms = USER_TIMEOUT_MS;
@@ -172,6 +185,7 @@
 	conn->state = connecting ? CONN_CONNECTING : CONN_OPEN;
 	loop_format_address(peer, conn->peer, sizeof(conn->peer));
 	loop_timer_init(&conn->timer, loop, on_conn_timer, conn);
+	loop_timer_init(&conn->pace_timer, loop, on_pace_timer, conn);
 	desc.vh = lws_get_vhost_by_name(loop->lws, "default");
 	desc.fd.sockfd = fd;
 	desc.vh_prot_name = "almondward";
@@ -280,6 +294,8 @@
 	while (sent < 0 && errno == EINTR);
 	if (sent >= 0) {
 		conn->sent_bytes += (uint64_t)sent;
+		pace_sent(&conn->loop->pace, (size_t)sent,
+			  clk_now_ms(conn->loop->clk));
 		return (size_t)sent;
 	}
 	if (errno != EAGAIN && errno != EWOULDBLOCK)
@@ -287,6 +303,28 @@
 	return 0;
 }
 
+/*
+ * How much of so many unsent bytes may be sent now. A large body waits for its
+ * next part if there is none.
+ */
+static size_t bytes_now(struct loop_conn *conn, size_t len_bytes)
+{
+	struct pace *pace = &conn->loop->pace;
+	uint64_t now_ms = clk_now_ms(conn->loop->clk);
+	size_t part_bytes;
+
+	if (len_bytes > SEND_BYTES_PER_TURN)
+		len_bytes = SEND_BYTES_PER_TURN;
+	if (!pace->bytes_per_ms || len_bytes <= PACE_LARGE_BYTES)
+		return len_bytes;
+	part_bytes = pace_part_bytes(pace, now_ms);
+	if (part_bytes)
+		return len_bytes < part_bytes ? len_bytes : part_bytes;
+	conn->paced = true;
+	loop_timer_set(&conn->pace_timer, pace_wait_ms(pace, now_ms));
+	return 0;
+}
+
 static enum loop_error queue(struct loop_conn *conn, const void *data,
 			     size_t len_bytes)
 {
@@ -309,10 +347,7 @@
 	    conn->state == CONN_LINGER)
 		return LOOP_ERR_CLOSED;
 	if (conn->state == CONN_OPEN && !loop_conn_queued_bytes(conn))
-		sent_bytes = send_some(conn, data,
-				       len_bytes < SEND_BYTES_PER_TURN ?
-					       len_bytes :
-					       SEND_BYTES_PER_TURN);
+		sent_bytes = send_some(conn, data, bytes_now(conn, len_bytes));
 	if (conn->write_failed)
 		return LOOP_ERR_CLOSED;
 	if (sent_bytes < len_bytes) {
@@ -328,7 +363,8 @@
 	}
 	if (loop_conn_queued_bytes(conn)) {
 		conn->notify_drained = true;
-		lws_callback_on_writable(conn->wsi);
+		if (!conn->paced)
+			lws_callback_on_writable(conn->wsi);
 	}
 	return LOOP_OK;
 }
@@ -345,10 +381,10 @@
 
 static void send_queue(struct loop_conn *conn)
 {
-	size_t len_bytes = loop_conn_queued_bytes(conn);
+	size_t len_bytes = bytes_now(conn, loop_conn_queued_bytes(conn));
 
-	if (len_bytes > SEND_BYTES_PER_TURN)
-		len_bytes = SEND_BYTES_PER_TURN;
+	if (!len_bytes)
+		return;
 	conn->out_offset_bytes += send_some(
 		conn, conn->out.data + conn->out_offset_bytes, len_bytes);
 	if (conn->write_failed)
@@ -424,7 +460,8 @@
 	if (loop_conn_queued_bytes(conn) && !conn->write_failed)
 		send_queue(conn);
 	if (loop_conn_queued_bytes(conn)) {
-		lws_callback_on_writable(conn->wsi);
+		if (!conn->paced)
+			lws_callback_on_writable(conn->wsi);
 		return 0;
 	}
 	if (conn->state == CONN_LINGER) {
--- a/almondward/loop_private.h
+++ b/almondward/loop_private.h
@@ -8,6 +8,7 @@
 #include <ev.h>
 
 #include "loop.h"
+#include "pace.h"
 #include "types.h"
 
 #define LOOP_PART "loop"
@@ -18,6 +19,7 @@
 	struct lws_context *lws;
 	struct loop_conn *conns;
 	struct loop_listener *listeners;
+	struct pace pace; /* of large bodies */
 	ev_signal sigterm;
 	ev_signal sigint;
 	void (*stop_fn)(void *arg);
--- a/almondward/settings_cluster.c
+++ b/almondward/settings_cluster.c
@@ -63,6 +63,8 @@
 	BOUND("lookup_ttl_s", lookup_ttl_milli_s, 5000),
 	/* Share of a region's requests that may move within 2 s [0.15]. */
 	BOUND("shift_max", shift_milli, 150),
+	/* Rate of the machine's link in megabits a second [0: not known]. */
+	BOUND("link_mbit_per_s", link_milli_mbit, 0),
 };
 
 #define NR_BOUNDS (sizeof(bounds) / sizeof(bounds[0]))
