gateway: Log how long a body took to hand over

Cause: uploads of the grown truss site lose by the pacing; the log did not tell whether in their transfer or at the server.

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -74,6 +74,7 @@
 	/* A large body on a slow link. */
 	bool waits_for_link;
 	bool sends_large;
+	uint32_t body_ms; /* in which the last body was handed over */
 	struct gw_request *large_prev, *large_next;
 };
 
@@ -163,7 +164,7 @@
 		EVENT_REQUEST,
 		"id=%s customer=%s route=%s upstream=%s object=%llx status=%u outcome=%s "
 		"rule=%s verdict=%s server=%s server_zone=%s took_ms=%llu sent_ms=%lld "
-		"tries=%u not_run=%u expected_ms=%u wait_ms=%u load=%u/%u "
+		"body_ms=%u tries=%u not_run=%u expected_ms=%u wait_ms=%u load=%u/%u "
 		"load_age_ms=%llu place=%d moved=%s left_ms=%lld plan=%llu "
 		"plan_age_ms=%llu",
 		event_text(request->call.id, id), request->customer,
@@ -175,10 +176,10 @@
 		request->first_sent_ms ? (long long)(request->first_sent_ms -
 						     request->start_ms) :
 					 -1LL,
-		request->nr_run, request->nr_not_run, choice->expected_ms,
-		choice->wait_ms, choice->load, choice->slots,
-		(unsigned long long)choice->load_age_ms, choice->place,
-		choice->moved ? "true" : "false",
+		request->body_ms, request->nr_run, request->nr_not_run,
+		choice->expected_ms, choice->wait_ms, choice->load,
+		choice->slots, (unsigned long long)choice->load_age_ms,
+		choice->place, choice->moved ? "true" : "false",
 		(long long)(request->limit_ms - now_ms),
 		(unsigned long long)request->plan_version,
 		(unsigned long long)(now_ms - request->gw->plan_ms));
@@ -308,6 +309,7 @@
 	struct gw_request *request = arg;
 	struct gw *gw = request->gw;
 
+	request->body_ms = (uint32_t)(gw_now_ms(gw) - request->sending.sent_ms);
 	end_large(request);
 	send_next_large(gw);
 }
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -47,7 +47,7 @@
 	struct loop_timer timer;
 	struct loop_timer pace_timer;
 	bool paced;
-		/* a large body waits for its next part */ /* connect timeout, later lingering */
+	/* a large body waits for its next part */ /* connect timeout, later lingering */
 	uint32_t busy; /* callbacks that run */
 	bool dead; /* closed by the owner within a callback */
 	bool write_failed;
