--- a/almondward/directory.c
+++ b/almondward/directory.c
@@ -3,16 +3,57 @@
 #include <stdbool.h>
 #include <string.h>
 
-enum distance { DISTANCE_REGION, DISTANCE_FAR };
+enum distance { DISTANCE_ZONE, DISTANCE_REGION, DISTANCE_FAR };
 
-static enum distance distance_of(const struct set_cluster *cluster,
-				 const Aw__Instance *instance, const char *zone,
-				 const char *region)
+struct place {
+	const struct set_cluster *cluster;
+	const char *zone;
+	const char *region;
+};
+
+static bool is_within(const struct place *place, enum distance distance,
+		      const Aw__Instance *instance)
 {
-	(void)zone;
-	if (!strcmp(set_region(cluster, instance->zone), region))
-		return DISTANCE_REGION;
-	return DISTANCE_FAR;
+	if (instance->state != AW__INSTANCE_STATE__INSTANCE_ACTIVE)
+		return false;
+	switch (distance) {
+	case DISTANCE_ZONE:
+		return !strcmp(instance->zone, place->zone);
+	case DISTANCE_REGION:
+		return !strcmp(set_region(place->cluster, instance->zone),
+			       place->region);
+	case DISTANCE_FAR:
+		break;
+	}
+	return true;
+}
+
+static size_t count(const struct place *place, enum distance distance,
+		    const Aw__Instance *const *instances, size_t nr_instances)
+{
+	size_t i, nr = 0;
+
+	for (i = 0; i < nr_instances; i++)
+		nr += is_within(place, distance, instances[i]);
+	return nr;
+}
+
+/*
+ * The zones of a region together, so that their links are used evenly; of a
+ * region with too many instances those of the zone.
+ */
+static enum distance choose_distance(const struct place *place,
+				     const Aw__Instance *const *instances,
+				     size_t nr_instances)
+{
+	size_t nr = count(place, DISTANCE_REGION, instances, nr_instances);
+
+	if (!nr)
+		return DISTANCE_FAR;
+	if (nr > DIR_ADDRESSES_MAX &&
+	    count(place, DISTANCE_ZONE, instances, nr_instances))
+		return DISTANCE_ZONE;
+	return DISTANCE_REGION;
 }
 
 size_t dir_choose(const struct set_cluster *cluster,
@@ -20,21 +61,15 @@
 		  const char *zone, const char *region,
 		  const char *addresses[DIR_ADDRESSES_MAX])
 {
+	struct place place = { cluster, zone, region };
 	enum distance distance;
 	size_t i, nr = 0;
 
 	if (!*region)
-		region = set_region(cluster, zone);
-	for (distance = DISTANCE_REGION; distance <= DISTANCE_FAR; distance++) {
-		for (i = 0; i < nr_instances && nr < DIR_ADDRESSES_MAX; i++) {
-			const Aw__Instance *at = instances[i];
-
-			if (at->state == AW__INSTANCE_STATE__INSTANCE_ACTIVE &&
-			    distance_of(cluster, at, zone, region) == distance)
-				addresses[nr++] = at->address;
-		}
-		if (nr)
-			break;
-	}
+		place.region = set_region(cluster, zone);
+	distance = choose_distance(&place, instances, nr_instances);
+	for (i = 0; i < nr_instances && nr < DIR_ADDRESSES_MAX; i++)
+		if (is_within(&place, distance, instances[i]))
+			addresses[nr++] = instances[i]->address;
 	return nr;
 }
--- a/almondward/directory.h
+++ b/almondward/directory.h
@@ -19,9 +19,9 @@
 #define DIR_TTL_MS 1000
 
 /*
- * Fills in addresses of active instances: those of the zone, or else of the
- * region, or else all others. Returns the number; the addresses belong to the
- * instances.
+ * Fills in addresses of active instances: those of the region, of the zone
+ * if the region has too many, or else all others. An empty region stands for
+ * that of the zone. Returns the number; the addresses belong to the instances.
  */
 size_t dir_choose(const struct set_cluster *cluster,
 		  const Aw__Instance *const *instances, size_t nr_instances,
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -95,6 +95,7 @@
 	uint32_t near_slots;
 	uint32_t need_now;
 	double need; /* the same over some time: slots that requests of the region occupy anywhere */
+	bool is_needed; /* there were requests */
 	double near_part; /* of the objects that belongs to near servers */
 	UT_hash_handle hh;
 };
@@ -181,6 +182,7 @@
 	struct memory *memory;
 	struct shift shift;
 	uint64_t measured_ms; /* when the need was last measured */
+	uint64_t joined_ms; /* the start is over by then */
 	uint64_t first_ms; /* when the first request came */
 	uint64_t disturbed_until_ms; /* servers were lost shortly before */
 	struct way ways[SET_ZONES_MAX]; /* to other regions */
@@ -258,7 +260,8 @@
 		 set_region(cluster, zone));
 	snprintf(steer->instance, sizeof(steer->instance), "%s", instance);
 	steer->measured_ms = clk_now_ms(clk);
-	steer->disturbed_until_ms = clk_now_ms(clk) + START_MS;
+	steer->joined_ms = clk_now_ms(clk) + START_MS;
+	steer->disturbed_until_ms = steer->joined_ms;
 	shift_init(&steer->shift, cluster->bounds.shift_milli);
 	for (size_t i = 0; i < 3; i++)
 		steer->random_state[i] = (unsigned short)(seed >> (16 * i));
@@ -694,24 +697,31 @@
 
 /*
  * A region with as many slots as the others keeps its objects also when it is
- * overrun: the others may be overrun as well.
+ * overrun: the others may be overrun as well. Without requests the part stays
+ * as it is: the next ones will need as much as the last.
  */
 static void follow_need(struct steer *steer, struct upstream *upstream,
 			double passed_ms)
 {
 	double follow = 1 - exp(-passed_ms / NEED_MS);
-	double least = first_part(steer, upstream);
+	double least = clamp(first_part(steer, upstream), 0, 1);
 	double room = NEAR_USED_MAX * upstream->near_slots;
 	double step = steer->cluster->bounds.shift_milli / 1000.0 *
 		      OBJECTS_SHIFT_PART * passed_ms / SHIFT_WINDOW_MS;
 	double part, old = upstream->near_part;
 
-	if (old < 0)
+	if (!upstream->need_now) {
+		if (upstream->is_needed)
+			return;
+		upstream->near_part = least;
 		upstream->need = least > 0 ? room / least : 0;
+		return;
+	}
+	upstream->is_needed = true;
 	upstream->need += (upstream->need_now - upstream->need) * follow;
-	part = upstream->need > 0 ? room / upstream->need : 1;
-	part = clamp(part, least < 1 ? least : 1, 1);
-	if (old >= 0 && step > 0 && now_ms(steer) >= steer->disturbed_until_ms)
+	part = clamp(room / upstream->need, least, 1);
+	/* An instance that joins others takes their part over. */
+	if (old >= 0 && step > 0 && now_ms(steer) >= steer->joined_ms)
 		part = clamp(part, old - step, old + step);
 	upstream->near_part = part;
 }
--- a/tests/steer_test.cc
+++ b/tests/steer_test.cc
@@ -711,7 +711,12 @@
 		add("c" + std::to_string(i), "c1", 8);
 	}
 	sync();
-	steer_tick(steer);
+	// Seen on the grown truss site: in the idle time before the first
+	// request all objects moved to the region, and away from it with it.
+	for (int i = 0; i < 100; i++) {
+		clk_advance_ms(clk, 100);
+		steer_tick(steer);
+	}
 	for (uint64_t object = 0; object < 400; object++)
 		near += steer_server_zone(pick(query(object)).server)[0] == 'a';
 	// 8 of 88 slots for a third of the requests.
