loop: Send the head of a large body that has to wait

Cause: the new process test slow_link was refused with no_server: a body that had to wait for its first part sent nothing, which the client takes for a broken connection. Each such sending left its server out for 1.5 s.

Change: about one packet is always sent at once.

--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -24,6 +24,8 @@
 #define LINGER_STALL_MS 5000
 /* Lets other connections run while a large queue is sent. */
 #define SEND_BYTES_PER_TURN 262144
+/* Of a large body that has to wait for its first part: about one packet. */
+#define FIRST_BYTES 1024
 /* An empty queue keeps at most this much memory. */
 #define QUEUE_KEEP_BYTES 65536
 
@@ -340,14 +342,18 @@
 enum loop_error loop_conn_send(struct loop_conn *conn, const void *data,
 			       size_t len_bytes)
 {
+	size_t sent_bytes = 0, now_bytes;
 	enum loop_error err;
-	size_t sent_bytes = 0;
 
 	if (conn->dead || !conn->wsi || conn->write_failed ||
 	    conn->state == CONN_LINGER)
 		return LOOP_ERR_CLOSED;
-	if (conn->state == CONN_OPEN && !loop_conn_queued_bytes(conn))
-		sent_bytes = send_some(conn, data, bytes_now(conn, len_bytes));
+	if (conn->state == CONN_OPEN && !loop_conn_queued_bytes(conn)) {
+		/* Callers take a connection that sends nothing for broken. */
+		now_bytes = bytes_now(conn, len_bytes);
+		sent_bytes = send_some(conn, data,
+				       now_bytes ? now_bytes : FIRST_BYTES);
+	}
 	if (conn->write_failed)
 		return LOOP_ERR_CLOSED;
 	if (sent_bytes < len_bytes) {
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -93,8 +93,9 @@
 	double cold_ms;
 	uint32_t cold_milli_per_s;
 	uint32_t near_slots;
+	/* Requests of the region under way anywhere, now and on average. */
 	uint32_t need_now;
-	double need; /* the same over some time: slots that requests of the region occupy anywhere */
+	double need;
 	bool is_needed; /* there were requests */
 	double near_part; /* of the objects that belongs to near servers */
 	UT_hash_handle hh;
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -27,6 +27,7 @@
   region: {region}
   regions: {{a1: ra, a2: ra, b1: rb}}
   listen: {{callers: "{ip}:{callers}", ready: "{ip}:{ready}", metrics: "{ip}:{metrics}"}}
+  bounds: {{link_mbit_per_s: {link_mbit}}}
 """
 
 CONTROL = """\
@@ -200,7 +201,7 @@
 
 
 class Cluster:
-    def __init__(self, build, nr_controls=3, nr_entries=2, nr_servers=4, seed=1):
+    def __init__(self, build, nr_controls=3, nr_entries=2, nr_servers=4, seed=1, link_mbit=0):
         self.binary = pathlib.Path(build) / "almondward"
         self.rng = random.Random(seed)
         self.dir = tempfile.TemporaryDirectory(prefix="almondward-cluster-")
@@ -223,6 +224,7 @@
         self.runs = {}            # request id: list of (server, time, method, customer)
         self.broken = []          # promises that were not kept
         self.nr_servers = nr_servers
+        self.link_mbit = link_mbit  # rate of the entry instances' links, 0: not known
 
     def names(self, role):
         return [n for n, (_, _, r) in self.instances.items() if r == role]
@@ -243,7 +245,8 @@
         seeds = ", ".join(f'"{s}:{self.ports["control"]}"' for s in self.seeds)
         settings.write_text((CONTROL if role == "control" else ENTRY).format(
             name=name, zone=zone, region=ZONES[zone], ip=ip, seeds=seeds, data=data,
-            bootstrap="true" if bootstrap else "false", **self.ports))
+            bootstrap="true" if bootstrap else "false", link_mbit=self.link_mbit,
+            **self.ports))
         log = open(self.path / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
             [str(self.binary), "run", "-c", str(settings)], stdout=log, stderr=log)
--- a/tests/process_cluster.py
+++ b/tests/process_cluster.py
@@ -110,6 +110,28 @@
     assert cluster.processes["entry-0"].wait(timeout=8) == 0
 
 
+async def slow_link(cluster):
+    """Large bodies in parts over a slow link: all arrive whole, and small
+    requests do not wait for them."""
+    bodies = [bytes([97 + i]) * 60000 for i in range(6)]
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    large = [asyncio.create_task(cluster.request("entry-0", f"/write/{i}", "POST", body))
+             for i, body in enumerate(bodies)]
+    while not all(task.done() for task in large):
+        asked = loop.time()
+        answer = await cluster.request("entry-0", "/read/1")
+        assert answer and answer.status == 200, answer
+        assert loop.time() - asked < 0.5, loop.time() - asked
+        await asyncio.sleep(0.05)
+    for i, task in enumerate(large):
+        answer = task.result()
+        assert answer and answer.status == 200, (i, answer and (answer.status, answer.body))
+        assert answer.body.endswith(f":/write/{i}:".encode() + bodies[i]), i
+    # 360 KB to the servers and 360 KB to the callers, 500 KB in a second.
+    assert loop.time() - started > 1, loop.time() - started
+
+
 async def faulty_answers(cluster):
     """Answers of another request and answers that are cut are never passed on."""
     for fault in ("extra", "cut", "reset", "shed"):
@@ -129,6 +151,7 @@
              for case in (serves_and_reads_back, same_change_again,
                           survives_lost_disk_and_all_kills, replaced_control_instance,
                           departed_server_gets_nothing, stop_cuts_nothing, faulty_answers)]
+    cases.append(("slow_link", lambda: clusterlib.run_case(build, slow_link, link_mbit=4)))
     cases += [(f"soak seed {seed}", soak.case(build, seed))
               for seed in SOAK_SEEDS + soak.REGRESSIONS]
     clusterlib.run_cases(cases)
