--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -46,10 +46,9 @@
 	size_t out_offset_bytes;
 	uint64_t sent_bytes;
 	size_t linger_queued_bytes;
-	struct loop_timer timer;
+	struct loop_timer timer; /* connect timeout, later lingering */
 	struct loop_timer pace_timer;
-	bool paced;
-	/* a large body waits for its next part */ /* connect timeout, later lingering */
+	bool paced; /* a large body waits for its next part */
 	uint32_t busy; /* callbacks that run */
 	bool dead; /* closed by the owner within a callback */
 	bool write_failed;
