tests: Share the loops of similar cases

Cause: two cases of share_test and two of raft_replace_test repeated the same steps.

Change: one function each; seeds, patterns and bounds stay as they were.

--- a/tests/raft_replace_test.cc
+++ b/tests/raft_replace_test.cc
@@ -3,18 +3,24 @@
 
 #include "raft_cluster.h"
 
-// Four voters are three and a replacement. Without the rule the silent fourth
-// still counts, and the loss of one more of the three left stops everything.
-TEST(RaftReplace, SilentVoterGoesWhenItsReplacementIsThere)
+// Starts all instances anew with the rule.
+static bool replace_silent(Cluster &cluster)
 {
-	Cluster cluster(3, 4);
-
 	cluster.replace_silent_ms = 1000;
 	for (Node &node : cluster.nodes) {
 		cluster.stop(node);
 		cluster.start(node);
 	}
-	ASSERT_TRUE(cluster.run_until_whole(60000)) << cluster.error;
+	return cluster.run_until_whole(60000);
+}
+
+// Four voters are three and a replacement. Without the rule the silent fourth
+// still counts, and the loss of one more of the three left stops everything.
+TEST(RaftReplace, SilentVoterGoesWhenItsReplacementIsThere)
+{
+	Cluster cluster(3, 4);
+
+	ASSERT_TRUE(replace_silent(cluster)) << cluster.error;
 	cluster.crash(cluster.nodes[3], 1000000);
 	cluster.run(8000);
 	EXPECT_EQ(3u, cluster.voters.size());
@@ -29,12 +35,7 @@
 {
 	Cluster cluster(4, 5);
 
-	cluster.replace_silent_ms = 1000;
-	for (Node &node : cluster.nodes) {
-		cluster.stop(node);
-		cluster.start(node);
-	}
-	ASSERT_TRUE(cluster.run_until_whole(60000)) << cluster.error;
+	ASSERT_TRUE(replace_silent(cluster)) << cluster.error;
 	cluster.crash(cluster.nodes[3], 1000000);
 	cluster.run(8000);
 	EXPECT_EQ(5u, cluster.voters.size());
--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -82,6 +82,29 @@
 		return !share_bucket_take(&buckets[i], now());
 	}
 
+	// Requests of a customer at random to so many instances for a minute.
+	void expect_few_refused(size_t nr_instances, unsigned int seed)
+	{
+		std::mt19937 random(seed);
+		std::poisson_distribution<int> arrivals(
+			12.0 / (double)nr_instances * 0.05);
+		size_t asked = 0, refused = 0;
+
+		create(nr_instances);
+		for (int step = 0; step < 20 * 60; step++) {
+			if (step % 10 == 0)
+				report_all();
+			for (size_t i = 0; i < buckets.size(); i++)
+				for (int n = arrivals(random); n > 0; n--) {
+					asked++;
+					refused += !ask(i);
+				}
+			clk_advance_ms(clk, 50);
+		}
+		ASSERT_GT(asked, 600u);
+		EXPECT_LE(refused * 50, asked) << refused << " of " << asked;
+	}
+
 	uint64_t total_held() const
 	{
 		uint64_t total = 0;
@@ -97,23 +120,7 @@
 // fifth of them were refused.
 TEST_F(Share, CustomerWithinItsRateIsNotRefused)
 {
-	std::mt19937 random(7);
-	std::poisson_distribution<int> arrivals(12.0 / 12 * 0.05);
-	size_t asked = 0, refused = 0;
-
-	create(12);
-	for (int step = 0; step < 20 * 60; step++) {
-		if (step % 10 == 0)
-			report_all();
-		for (size_t i = 0; i < buckets.size(); i++)
-			for (int n = arrivals(random); n > 0; n--) {
-				asked++;
-				refused += !ask(i);
-			}
-		clk_advance_ms(clk, 50);
-	}
-	ASSERT_GT(asked, 600u);
-	EXPECT_LE(refused * 50, asked) << refused << " of " << asked;
+	expect_few_refused(12, 7);
 }
 
 // Pattern: a hot customer sends eight times its rate everywhere, after a
@@ -210,23 +217,7 @@
 // of its limit. Seen on the grown truss site: a fifth refused within the rate.
 TEST_F(Share, SmallCustomerAtManyInstances)
 {
-	std::mt19937 random(5);
-	std::poisson_distribution<int> arrivals(12.0 / 70 * 0.05);
-	size_t asked = 0, refused = 0;
-
-	create(70);
-	for (int step = 0; step < 20 * 60; step++) {
-		if (step % 10 == 0)
-			report_all();
-		for (size_t i = 0; i < buckets.size(); i++)
-			for (int n = arrivals(random); n > 0; n--) {
-				asked++;
-				refused += !ask(i);
-			}
-		clk_advance_ms(clk, 50);
-	}
-	ASSERT_GT(asked, 600u);
-	EXPECT_LE(refused * 50, asked) << refused << " of " << asked;
+	expect_few_refused(70, 5);
 }
 
 // Pattern: the small customers of the grown truss site, 8.7 requests a second
