gateway, gossip: Use set_peer_address()

Cause: both built the address of the peer protocol in place, a copy of what settings already has.

Change: both call set_peer_address(); gossip still skips an instance whose address has no port.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -220,7 +220,6 @@
 static int open_gossip(struct gw *gw)
 {
 	const struct set_cluster *cluster = &gw->settings->cluster;
-	const char *colon = strrchr(cluster->listen_callers, ':');
 	char address[ADDRESS_BYTES_MAX];
 	const struct gossip_settings settings = {
 		.loop = gw->loop,
@@ -233,9 +232,7 @@
 		.counters = gw->counters,
 	};
 
-	snprintf(address, sizeof(address), "%.*s:%u",
-		 (int)(colon - cluster->listen_callers),
-		 cluster->listen_callers, cluster->peer_port);
+	set_peer_address(cluster, cluster->listen_callers, address);
 	gw->gossip = gossip_create(&settings);
 	return gw->gossip ? 0 : -1;
 }
--- a/almondward/gossip.c
+++ b/almondward/gossip.c
@@ -104,14 +104,11 @@
 	size_t i;
 
 	for (i = 0; i < nr; i++) {
-		const char *colon = strrchr(instances[i]->address, ':');
-
-		if (!colon || !is_told(gossip, instances[i], nr <= TELL_ALL_MAX,
-				       cluster->region))
+		if (!strchr(instances[i]->address, ':') ||
+		    !is_told(gossip, instances[i], nr <= TELL_ALL_MAX,
+			     cluster->region))
 			continue;
-		snprintf(address, sizeof(address), "%.*s:%u",
-			 (int)(colon - instances[i]->address),
-			 instances[i]->address, cluster->peer_port);
+		set_peer_address(cluster, instances[i]->address, address);
 		/* A datagram that is not sent is made up for by the next. */
 		if (!loop_udp_send(gossip->udp, address, data, len_bytes))
 			ctr_add(gossip->sent, 1);
