steer, loop: Read the clock once

Cause: a choice read the clock several times for each of up to 429 servers, every send read it also where the link is not paced, and the number of regions was counted anew in each tick.

Change: steer reads the clock once for each call from outside, loop_conn only when it paces, and the regions are counted at the start.

No change of behaviour: steer, loop and pace tests pass unchanged.

--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -295,8 +295,9 @@
 	while (sent < 0 && errno == EINTR);
 	if (sent >= 0) {
 		conn->sent_bytes += (uint64_t)sent;
-		pace_sent(&conn->loop->pace, (size_t)sent,
-			  clk_now_ms(conn->loop->clk));
+		if (conn->loop->pace.bytes_per_ms)
+			pace_sent(&conn->loop->pace, (size_t)sent,
+				  clk_now_ms(conn->loop->clk));
 		return (size_t)sent;
 	}
 	if (errno != EAGAIN && errno != EWOULDBLOCK)
@@ -311,13 +312,14 @@
 static size_t bytes_now(struct loop_conn *conn, size_t len_bytes)
 {
 	struct pace *pace = &conn->loop->pace;
-	uint64_t now_ms = clk_now_ms(conn->loop->clk);
 	size_t part_bytes;
+	uint64_t now_ms;
 
 	if (len_bytes > SEND_BYTES_PER_TURN)
 		len_bytes = SEND_BYTES_PER_TURN;
 	if (!pace->bytes_per_ms || len_bytes <= PACE_LARGE_BYTES)
 		return len_bytes;
+	now_ms = clk_now_ms(conn->loop->clk);
 	part_bytes = pace_part_bytes(pace, now_ms);
 	if (part_bytes)
 		return len_bytes < part_bytes ? len_bytes : part_bytes;
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -169,6 +169,7 @@
 
 struct steer {
 	struct clk *clk;
+	uint64_t at_ms; /* the clock at the running call */
 	const struct set_cluster *cluster;
 	char zone[NAME_BYTES_MAX];
 	char region[NAME_BYTES_MAX];
@@ -180,6 +181,7 @@
 	struct peer *peers;
 	const struct topo *topo;
 	size_t nr_instances; /* in the table, with this one */
+	size_t nr_regions;
 	struct memory *memory;
 	struct shift shift;
 	uint64_t measured_ms; /* when the need was last measured */
@@ -216,9 +218,19 @@
 	return names[outcome];
 }
 
+/*
+ * The clock is read once for each call from outside: a choice looks at the time
+ * several times for each of hundreds of servers.
+ */
+static uint64_t read_clock(struct steer *steer)
+{
+	steer->at_ms = clk_now_ms(steer->clk);
+	return steer->at_ms;
+}
+
 static uint64_t now_ms(const struct steer *steer)
 {
-	return clk_now_ms(steer->clk);
+	return steer->at_ms;
 }
 
 /* ---- hashing ---- */
@@ -246,6 +258,20 @@
 
 /* ---- create and destroy ---- */
 
+static size_t count_regions(const struct set_cluster *cluster)
+{
+	size_t nr = 0, first;
+
+	for (size_t i = 0; i < cluster->nr_zones; i++) {
+		for (first = 0; first < i; first++)
+			if (!strcmp(cluster->zones[first].region,
+				    cluster->zones[i].region))
+				break;
+		nr += first == i;
+	}
+	return nr;
+}
+
 struct steer *steer_create(struct clk *clk, const struct set_cluster *cluster,
 			   const char *zone, const char *instance)
 {
@@ -260,8 +286,10 @@
 	snprintf(steer->region, sizeof(steer->region), "%s",
 		 set_region(cluster, zone));
 	snprintf(steer->instance, sizeof(steer->instance), "%s", instance);
-	steer->measured_ms = clk_now_ms(clk);
-	steer->joined_ms = clk_now_ms(clk) + START_MS;
+	steer->nr_regions = count_regions(cluster);
+	read_clock(steer);
+	steer->measured_ms = now_ms(steer);
+	steer->joined_ms = now_ms(steer) + START_MS;
 	steer->disturbed_until_ms = steer->joined_ms;
 	shift_init(&steer->shift, cluster->bounds.shift_milli);
 	for (size_t i = 0; i < 3; i++)
@@ -580,6 +608,7 @@
 	struct peer *at = get_peer(steer, instance);
 	struct steer_count *copy;
 
+	read_clock(steer);
 	if (!at || (at->incarnation == incarnation && sequence <= at->sequence))
 		return;
 	copy = malloc((nr + 1) * sizeof(*copy));
@@ -625,18 +654,6 @@
 	}
 }
 
-/*
- * Place of the first zone of a region in the list of zones.
- */
-static size_t region_place(const struct set_cluster *cluster,
-			   const char *region)
-{
-	for (size_t i = 0; i < cluster->nr_zones; i++)
-		if (!strcmp(cluster->zones[i].region, region))
-			return i;
-	return 0;
-}
-
 static void count_slots(struct steer *steer)
 {
 	struct steer_server *server, *next;
@@ -675,17 +692,12 @@
 static double first_part(const struct steer *steer,
 			 const struct upstream *upstream)
 {
-	const struct set_cluster *cluster = steer->cluster;
-	size_t nr_regions = 0;
 	uint32_t slots = 0;
 
-	for (size_t i = 0; i < cluster->nr_zones; i++)
-		nr_regions +=
-			region_place(cluster, cluster->zones[i].region) == i;
 	for (size_t i = 0; i < upstream->nr_servers; i++)
 		slots += upstream->servers[i]->slots;
-	return slots ? (double)upstream->near_slots * (double)nr_regions /
-			       slots :
+	return slots ? (double)upstream->near_slots *
+			       (double)steer->nr_regions / slots :
 		       1;
 }
 
@@ -767,6 +779,7 @@
 	struct steer_server *server, *next;
 	struct upstream *upstream, *next_upstream;
 
+	read_clock(steer);
 	sync.instances = topo_instances(topo, &sync.nr_instances);
 	steer->topo = topo;
 	steer->nr_instances = sync.nr_instances;
@@ -1293,6 +1306,7 @@
 	bool cold_only, is_shift;
 	size_t nr;
 
+	read_clock(steer);
 	memset(choice, 0, sizeof(*choice));
 	choice->verdict = STEER_NO_SERVER;
 	choice->retry_after_ms = retry_after(steer, 0);
@@ -1330,7 +1344,7 @@
 void steer_sent(struct steer *steer, struct steer_server *server,
 		const struct steer_query *query)
 {
-	uint64_t at_ms = now_ms(steer);
+	uint64_t at_ms = read_clock(steer);
 
 	if (!server->inflight)
 		server->oldest_ms = at_ms;
@@ -1404,7 +1418,7 @@
 		 const struct steer_sending *sending,
 		 const struct steer_load *load)
 {
-	uint64_t at_ms = now_ms(steer);
+	uint64_t at_ms = read_clock(steer);
 	bool failed = false;
 
 	server->inflight--;
@@ -1452,7 +1466,7 @@
 
 void steer_tick(struct steer *steer)
 {
-	uint64_t at_ms = now_ms(steer);
+	uint64_t at_ms = read_clock(steer);
 
 	forget_peers(steer);
 	measure_need(steer);
