notice: Heed servers that leave or ask for quiet; bound bytes without end

Cause: no module read Server-Leaving, and the Retry-After of a server's 503 was handed to the caller instead of keeping the server out. Answers had no bound together, chunk extensions and skipped answers had none at all. An answer without an id that says "not run" was believed on a kept connection, where it may be a late copy that belongs to an older request.

Change: notices are kept for one start of a server, also while the table does not have it. A leaving server is the last choice at once and gets nothing after half of drain_s; a pause is heeded with a spread return, and callers are told when the first server returns. Requests that wait for a connection are asked about again before the first byte. Answers share a fifth of the memory; framing and skipped answers are bounded.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -14,6 +14,9 @@
 /* Bodies are held whole; the rest of the memory is for connections. */
 #define BODY_MEMORY_SHARE 3
 #define BODY_MEMORY_BYTES ((uint64_t)64 << 20) /* without a memory limit */
+/* An answer is copied for the caller. */
+#define ANSWER_MEMORY_SHARE 5
+#define ANSWER_MEMORY_BYTES ((uint64_t)256 << 20)
 #define CONNECTIONS_MAX 2000 /* leaves half of 4,100 descriptors to servers */
 #define IDLE_MS 15000
 #define HEAD_MS 5000
@@ -254,6 +257,10 @@
 	gw->loop = loop_create(gw->clk);
 	if (!gw->loop)
 		return -1;
+	gw->answers.max_bytes =
+		cluster->memory_bytes ?
+			cluster->memory_bytes / ANSWER_MEMORY_SHARE :
+			ANSWER_MEMORY_BYTES;
 	loop_set_link_rate(gw->loop, cluster->bounds.link_milli_mbit);
 	gw->tick_timer = loop_timer_create(gw->loop, tick, gw);
 	if (!gw->tick_timer || open_state(gw) ||
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -89,6 +89,7 @@
 	struct gw_request *requests;
 	struct gw_backend *backends; /* connections to servers */
 	size_t nr_requests;
+	struct http_memory answers; /* that are being received */
 	/* Large bodies: those being sent, and those that wait for their turn. */
 	struct gw_request *large; /* oldest first */
 	uint32_t nr_large_sent;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -27,6 +27,9 @@
 /* The answer has to reach the caller before it gives up. */
 #define ANSWER_WAY_MS 10
 #define ANSWER_BYTES_MAX ((size_t)64 << 20)
+/* One answer takes at most this part of the memory for answers: a server may
+ * send one without end. */
+#define ANSWER_SHARE 4
 /* A server holds a slot from the first byte on, so of many large bodies for a
  * slow link few are sent at once; with a single one a far server's small
  * windows would leave the link idle. */
@@ -153,6 +156,15 @@
 	free(request);
 }
 
+/*
+ * The id that the caller gave, as a value of a line.
+ */
+static const char *id_text(const struct gw_request *request,
+			   char out[EVENT_TEXT_BYTES])
+{
+	return event_text(request->call.id, out);
+}
+
 static void log_end(struct gw_request *request, uint32_t status,
 		    const char *outcome, const char *rule)
 {
@@ -167,11 +179,10 @@
 		"body_ms=%u tries=%u not_run=%u expected_ms=%u wait_ms=%u load=%u/%u "
 		"load_age_ms=%llu place=%d moved=%s left_ms=%lld plan=%llu "
 		"plan_age_ms=%llu",
-		event_text(request->call.id, id), request->customer,
-		request->route, request->upstream,
-		(unsigned long long)request->query.object, status, outcome,
-		rule, steer_verdict_name(choice->verdict), request->server_id,
-		request->server_zone,
+		id_text(request, id), request->customer, request->route,
+		request->upstream, (unsigned long long)request->query.object,
+		status, outcome, rule, steer_verdict_name(choice->verdict),
+		request->server_id, request->server_zone,
 		(unsigned long long)(now_ms - request->start_ms),
 		request->first_sent_ms ? (long long)(request->first_sent_ms -
 						     request->start_ms) :
@@ -364,18 +375,68 @@
 	return nr;
 }
 
+/*
+ * What the server says of itself holds whatever becomes of the answer.
+ */
+static void take_notices(struct gw_request *request,
+			 const struct svc_answer *read)
+{
+	struct steer_server *server = request->choice.server;
+	struct gw *gw = request->gw;
+	char id[EVENT_TEXT_BYTES];
+
+	if (read->leaves && steer_server_leaves(gw->steer, server)) {
+		gw_count(gw, "server_notices", "leaves");
+		event_log(EVENT_SERVER, "server=%s notice=leaves id=%s",
+			  steer_server_id(server), id_text(request, id));
+	}
+	switch (read->pause) {
+	case SVC_PAUSE_NONE:
+		break;
+	case SVC_PAUSE_UNREADABLE:
+		gw_count(gw, "server_notices", "pause_unreadable");
+		event_log(EVENT_SERVER,
+			  "server=%s notice=pause_unreadable id=%s",
+			  steer_server_id(server), id_text(request, id));
+		break;
+	case SVC_PAUSE_CUT:
+	case SVC_PAUSE_TIME:
+		gw_count(gw, "server_notices", "pause");
+		if (steer_server_pauses(gw->steer, server, read->pause_ms) ||
+		    read->pause == SVC_PAUSE_CUT)
+			event_log(EVENT_SERVER,
+				  "server=%s notice=pause pause_ms=%u "
+				  "cut=%s id=%s",
+				  steer_server_id(server), read->pause_ms,
+				  read->pause == SVC_PAUSE_CUT ? "true" :
+								 "false",
+				  id_text(request, id));
+		break;
+	}
+}
+
+static bool may_send(void *arg)
+{
+	const struct gw_request *request = arg;
+
+	return steer_may_send(request->gw->steer, request->choice.server);
+}
+
 static bool is_mine(void *arg, const struct http_response *response)
 {
 	struct gw_request *request = arg;
+	char id[EVENT_TEXT_BYTES];
 	struct svc_answer read;
 
 	request->gw->adapter->read_answer(response, &read);
+	take_notices(request, &read);
 	if (!read.request_id || !request->call.id ||
 	    !strcmp(read.request_id, request->call.id))
 		return true;
 	gw_count(request->gw, "answers_skipped", "other_request");
 	event_log(EVENT_ATTEMPT, "id=%s server=%s outcome=skipped_other_answer",
-		  request->call.id, steer_server_id(request->choice.server));
+		  id_text(request, id),
+		  steer_server_id(request->choice.server));
 	return false;
 }
 
@@ -417,15 +478,16 @@
 static void log_attempt(const struct gw_request *request,
 			enum steer_outcome outcome, const char *cause)
 {
+	char id[EVENT_TEXT_BYTES];
+
 	gw_count(request->gw, "attempts", steer_outcome_name(outcome));
 	if (outcome == STEER_SUCCESS)
 		return;
 	event_log(EVENT_ATTEMPT,
 		  "id=%s server=%s upstream=%s outcome=%s cause=%s "
 		  "took_ms=%llu new_connection=%d load=%u/%u",
-		  request->call.id ? request->call.id : "",
-		  steer_server_id(request->choice.server), request->upstream,
-		  steer_outcome_name(outcome), cause,
+		  id_text(request, id), steer_server_id(request->choice.server),
+		  request->upstream, steer_outcome_name(outcome), cause,
 		  (unsigned long long)(gw_now_ms(request->gw) -
 				       request->sending.sent_ms),
 		  request->is_new, request->choice.load, request->choice.slots);
@@ -450,16 +512,37 @@
 	request->conn = NULL;
 }
 
+static void set_time_left(struct gw_request *request)
+{
+	uint64_t now_ms = gw_now_ms(request->gw);
+
+	request->query.aim_left_ms = (int64_t)(request->aim_ms - now_ms);
+	request->query.left_ms =
+		request->limit_ms > now_ms ? request->limit_ms - now_ms : 0;
+}
+
 static bool has_time_to_retry(const struct gw_request *request)
 {
 	return gw_now_ms(request->gw) + RETRY_LEFT_MS < request->limit_ms;
 }
 
+/*
+ * What a server says of itself does not hold for the caller: others may take
+ * the request sooner.
+ */
+static uint32_t come_back_ms(struct gw_request *request)
+{
+	set_time_left(request);
+	steer_pick(request->gw->steer, &request->query, &request->choice);
+	request->choice.server = NULL;
+	return request->choice.retry_after_ms;
+}
+
 /*
  * After a sending that did not run the request.
  */
 static void retry_not_run(struct gw_request *request, bool arrived,
-			  enum refusal refusal, uint32_t retry_after_ms)
+			  enum refusal refusal)
 {
 	request->nr_not_run++;
 	if (request->nr_not_run <= NOT_RUN_MAX && has_time_to_retry(request) &&
@@ -467,7 +550,7 @@
 		attempt(request);
 	else
 		refuse(request, request->nr_run ? REFUSAL_SERVER_LOST : refusal,
-		       retry_after_ms);
+		       come_back_ms(request));
 }
 
 /*
@@ -505,7 +588,9 @@
 	load.running = read.running;
 	load.waiting = read.waiting;
 	load.slots = read.slots;
-	if (read.is_coded || (!read.request_id && !read.not_run)) {
+	/* On a kept connection an answer without an id may be a late one. */
+	if (read.is_coded ||
+	    (!read.request_id && !(read.not_run && request->is_new))) {
 		http_conn_destroy(conn);
 		end_sending(request, STEER_FAILURE, "answer_not_whole", NULL);
 		retry_run(request, REFUSAL_ANSWER_CUT, NULL);
@@ -516,9 +601,7 @@
 		end_sending(request, read.misdirected ? STEER_GONE : STEER_SHED,
 			    read.misdirected ? "other_server" : "not_run",
 			    &load);
-		retry_not_run(request, true, REFUSAL_QUEUE_FULL,
-			      read.retry_after_ms ? read.retry_after_ms :
-						    RETRY_AFTER_MS);
+		retry_not_run(request, true, REFUSAL_QUEUE_FULL);
 		return;
 	}
 	if (response->status >= 500) {
@@ -550,11 +633,16 @@
 		[HTTP_MEMORY] = "memory",
 	};
 	struct gw_request *request = arg;
+	struct svc_answer read;
 
 	if (outcome->result == HTTP_OK) {
 		on_answer(request, conn, &outcome->response);
 		return;
 	}
+	if (outcome->failed_head.status) {
+		request->gw->adapter->read_answer(&outcome->failed_head, &read);
+		take_notices(request, &read);
+	}
 	http_conn_destroy(conn);
 	if (outcome->result == HTTP_TIMEOUT &&
 	    gw_now_ms(request->gw) >= request->limit_ms) {
@@ -568,10 +656,12 @@
 		return;
 	}
 	if (!outcome->bytes_sent) {
-		end_sending(request, STEER_UNREACHED, causes[outcome->result],
-			    NULL);
-		retry_not_run(request, false, REFUSAL_NO_SERVER,
-			      RETRY_AFTER_MS);
+		bool unwanted = !may_send(request);
+
+		end_sending(
+			request, unwanted ? STEER_WITHDRAWN : STEER_UNREACHED,
+			unwanted ? "notice" : causes[outcome->result], NULL);
+		retry_not_run(request, false, REFUSAL_NO_SERVER);
 		return;
 	}
 	end_sending(request,
@@ -586,6 +676,14 @@
 		  NULL);
 }
 
+static size_t answer_max_bytes(const struct gw *gw)
+{
+	uint64_t most_bytes = gw->answers.max_bytes / ANSWER_SHARE;
+
+	return most_bytes < ANSWER_BYTES_MAX ? (size_t)most_bytes :
+					       ANSWER_BYTES_MAX;
+}
+
 static bool send_call(struct gw_request *request)
 {
 	const struct http_request *req = request->req;
@@ -604,8 +702,10 @@
 		.headers = headers,
 		.body = req->body,
 		.body_bytes = req->body_bytes,
-		.answer_max_bytes = ANSWER_BYTES_MAX,
+		.answer_max_bytes = answer_max_bytes(request->gw),
+		.answer_memory = &request->gw->answers,
 		.timeout_ms = forward.left_ms,
+		.may_send = may_send,
 		.is_mine = is_mine,
 		.sent = on_sent,
 		.done = on_done,
@@ -646,9 +746,7 @@
 	uint64_t now_ms = gw_now_ms(gw);
 
 	while (now_ms < request->limit_ms) {
-		request->query.aim_left_ms =
-			(int64_t)(request->aim_ms - now_ms);
-		request->query.left_ms = request->limit_ms - now_ms;
+		set_time_left(request);
 		steer_pick(gw->steer, &request->query, &request->choice);
 		if (request->choice.verdict != STEER_SEND) {
 			refuse_verdict(request);
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -156,6 +156,11 @@
 	enum http_result result;
 	bool bytes_sent; /* a byte of the request was handed to the socket */
 	struct http_response response; /* valid during the callback */
+	/*
+	 * Status and headers of a response that failed after its head, valid
+	 * during the callback; status 0: there was none.
+	 */
+	struct http_response failed_head;
 };
 
 typedef void (*http_done_fn)(void *arg, struct http_conn *conn,
@@ -174,6 +179,14 @@
  */
 void http_conn_destroy(struct http_conn *conn);
 
+/*
+ * Memory that bodies share.
+ */
+struct http_memory {
+	uint64_t max_bytes; /* 0: no limit */
+	uint64_t used_bytes;
+};
+
 struct http_call {
 	const char *method;
 	const char *target;
@@ -182,6 +195,7 @@
 	const uint8_t *body; /* not copied: valid until done */
 	size_t body_bytes;
 	size_t answer_max_bytes;
+	struct http_memory *answer_memory; /* NULL: no limit beside that */
 	uint32_t timeout_ms; /* until the response is complete */
 	/*
 	 * Called just before the first byte is handed to the socket; false
--- a/almondward/http_client.c
+++ b/almondward/http_client.c
@@ -7,6 +7,9 @@
 
 /* A longer run of 1xx responses to one request is taken as malformed. */
 #define INFORMATIONAL_MAX 16
+/* More responses of other requests before the one that is waited for are taken
+ * as malformed: a server may send one twice. */
+#define SKIPPED_MAX 4
 /* A body up to this size is sent together with the head. */
 #define JOIN_BYTES_MAX 65536
 
@@ -37,7 +40,7 @@
 	uint64_t idle_since_ms;
 	uint64_t created_ms;
 	uint32_t connect_ms;
-	bool skipped; /* a response that belongs to no request */
+	uint32_t nr_skipped; /* responses that belong to no request */
 };
 
 static void drop_connection(struct http_conn *conn)
@@ -66,7 +69,7 @@
 static void open_msg(struct http_conn *conn)
 {
 	reset_msg(conn);
-	msg_init(&conn->msg, HTTP_RESPONSE);
+	msg_init(&conn->msg, HTTP_RESPONSE, conn->call.answer_memory);
 	conn->msg.skip_body = !strcmp(conn->call.method, "HEAD");
 	conn->msg_open = true;
 }
@@ -91,12 +94,27 @@
 		msg_release(&msg);
 }
 
+static void fill_response(const struct http_conn *conn,
+			  struct http_response *response)
+{
+	response->status = conn->msg.parser.status_code;
+	response->headers = conn->msg.headers;
+	response->nr_headers = conn->msg.nr_headers;
+	response->body = conn->msg.body;
+	response->body_bytes = conn->msg.body_bytes;
+}
+
 static void fail(struct http_conn *conn, enum http_result result)
 {
 	struct http_outcome outcome = { .result = result };
 
 	note_sent(conn);
 	outcome.bytes_sent = conn->bytes_sent;
+	if (conn->msg_open && conn->msg.head_done) {
+		fill_response(conn, &outcome.failed_head);
+		outcome.failed_head.body = NULL;
+		outcome.failed_head.body_bytes = 0;
+	}
 	drop_connection(conn);
 	finish(conn, &outcome);
 }
@@ -113,16 +131,6 @@
 	loop_timer_set(conn->timer, 0);
 }
 
-static void fill_response(const struct http_conn *conn,
-			  struct http_response *response)
-{
-	response->status = conn->msg.parser.status_code;
-	response->headers = conn->msg.headers;
-	response->nr_headers = conn->msg.nr_headers;
-	response->body = conn->msg.body;
-	response->body_bytes = conn->msg.body_bytes;
-}
-
 static void succeed(struct http_conn *conn, bool more_bytes)
 {
 	struct http_outcome outcome = { .result = HTTP_OK };
@@ -133,7 +141,7 @@
 	conn->idle_since_ms = clk_now_ms(loop_clock(conn->loop));
 	conn->state = CLIENT_IDLE;
 	/* A response before the end of the request leaves a request cut off. */
-	if (more_bytes || conn->skipped ||
+	if (more_bytes || conn->nr_skipped ||
 	    !http_should_keep_alive(&conn->msg.parser) ||
 	    loop_conn_queued_bytes(conn->loop_conn))
 		drop_connection(conn);
@@ -283,9 +291,10 @@
 			status = MSG_MORE;
 		}
 		if (status == MSG_DONE && !is_mine(conn)) {
-			conn->skipped = true;
 			open_msg(conn);
-			status = MSG_MORE;
+			status = ++conn->nr_skipped > SKIPPED_MAX ?
+					 MSG_ERR_MALFORMED :
+					 MSG_MORE;
 		}
 	}
 	if (status == MSG_DONE)
--- a/almondward/http_msg.c
+++ b/almondward/http_msg.c
@@ -9,10 +9,12 @@
 /* Lengths above this cannot occur and would need overflow checks. */
 #define LENGTH_DIGITS_MAX 15
 
-void msg_init(struct msg *msg, enum http_parser_type type)
+void msg_init(struct msg *msg, enum http_parser_type type,
+	      struct http_memory *memory)
 {
 	memset(msg, 0, sizeof(*msg));
 	msg->type = type;
+	msg->memory = memory;
 	http_parser_init(&msg->parser, type);
 	msg->parser.data = msg;
 }
@@ -23,6 +25,15 @@
 	free(msg->headers);
 	free(msg->value_bytes);
 	free(msg->body);
+	msg_unreserve(msg);
+}
+
+void msg_unreserve(struct msg *msg)
+{
+	if (msg->memory)
+		msg->memory->used_bytes -= msg->reserved_bytes;
+	msg->memory = NULL;
+	msg->reserved_bytes = 0;
 }
 
 const char *http_header_value(const struct http_header *headers,
@@ -170,15 +181,28 @@
 	return 0;
 }
 
+static bool reserve(struct msg *msg, size_t size_bytes)
+{
+	struct http_memory *memory = msg->memory;
+	uint64_t more_bytes = size_bytes - msg->reserved_bytes;
+
+	if (!memory)
+		return true;
+	if (memory->max_bytes &&
+	    (memory->used_bytes > memory->max_bytes ||
+	     more_bytes > memory->max_bytes - memory->used_bytes))
+		return false;
+	memory->used_bytes += more_bytes;
+	msg->reserved_bytes = size_bytes;
+	return true;
+}
+
 static enum msg_status grow_body(struct msg *msg, size_t size_bytes)
 {
 	uint8_t *body;
 
-	if (msg->reserve &&
-	    !msg->reserve(msg->reserve_arg, size_bytes - msg->reserved_bytes))
+	if (!reserve(msg, size_bytes))
 		return MSG_ERR_BODY_MEMORY;
-	if (msg->reserve)
-		msg->reserved_bytes = size_bytes;
 	body = realloc(msg->body, size_bytes);
 	if (!body)
 		return MSG_ERR_MEMORY;
@@ -389,6 +413,16 @@
 	return grow_body(msg, (size_t)len_bytes);
 }
 
+static bool framing_is_too_long(const struct msg *msg)
+{
+	uint64_t framing_bytes = msg->fed_bytes - msg->body_bytes;
+
+	return msg->chunked &&
+	       framing_bytes > MSG_FRAMING_BYTES_MAX +
+				       MSG_FRAMING_PER_BODY_BYTE *
+					       (uint64_t)msg->body_bytes;
+}
+
 static enum msg_status feed_body(struct msg *msg, const uint8_t *data,
 				 size_t len_bytes, size_t *used_bytes)
 {
@@ -398,12 +432,15 @@
 	parsed = http_parser_execute(&msg->parser, &parser_settings,
 				     (const char *)data, len_bytes);
 	*used_bytes = parsed;
+	msg->fed_bytes += parsed;
 	if (msg->error)
 		return msg->error;
 	if (msg->chunked && !chunk_lines_ok(msg, data + parsed))
 		return MSG_ERR_MALFORMED;
 	if (msg->complete)
 		return MSG_DONE;
+	if (framing_is_too_long(msg))
+		return MSG_ERR_BODY_TOO_LARGE;
 	if (parsed != len_bytes || HTTP_PARSER_ERRNO(&msg->parser) != HPE_OK)
 		return MSG_ERR_MALFORMED;
 	return MSG_MORE;
--- a/almondward/http_private.h
+++ b/almondward/http_private.h
@@ -20,7 +20,7 @@
 	MSG_ERR_MALFORMED,
 	MSG_ERR_HEAD_TOO_LARGE,
 	MSG_ERR_BODY_TOO_LARGE,
-	MSG_ERR_BODY_MEMORY, /* refused by reserve() */
+	MSG_ERR_BODY_MEMORY, /* the bodies together have no more */
 	MSG_ERR_MEMORY
 };
 
@@ -47,21 +47,36 @@
 	size_t body_bytes;
 	size_t body_size_bytes;
 	size_t body_max_bytes;
-	bool (*reserve)(void *arg, size_t bytes); /* may be NULL */
-	void *reserve_arg;
+	struct http_memory *memory; /* may be NULL */
 	size_t reserved_bytes;
 
 	/* Kept here: the parser changes its flag when it reads trailers. */
 	bool chunked;
 	const uint8_t *framing; /* bytes of chunk lines not checked yet */
+	uint64_t fed_bytes; /* of the body with what frames it */
 	uint64_t chunk_left_bytes;
 	uint8_t framing_last;
 	bool expect_cr; /* the line end after the data of a chunk */
 };
 
-void msg_init(struct msg *msg, enum http_parser_type type);
+/* Bytes around the chunks of a body: so many, and for each byte of the body so
+ * many more. A chunk of one byte takes five; extensions and trailers are of no
+ * use here. */
+#define MSG_FRAMING_BYTES_MAX 16384
+#define MSG_FRAMING_PER_BODY_BYTE 8
+
+/*
+ * memory, if not NULL, limits the body together with others.
+ */
+void msg_init(struct msg *msg, enum http_parser_type type,
+	      struct http_memory *memory);
 void msg_release(struct msg *msg);
 
+/*
+ * Gives the part of the shared memory back, before its owner goes.
+ */
+void msg_unreserve(struct msg *msg);
+
 /*
  * Takes bytes until the head or the message is complete. After MSG_HEAD the
  * owner calls msg_begin_body() and then msg_feed() again, also with no bytes.
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -62,7 +62,7 @@
 	struct http_exchange *exchanges;
 	size_t nr_conns;
 	size_t nr_active;
-	uint64_t body_memory_bytes;
+	struct http_memory body_memory;
 	bool draining;
 	struct ctr *requests;
 	struct ctr *aborts;
@@ -79,18 +79,6 @@
 
 /* ---- exchanges ---- */
 
-static bool reserve_body(void *arg, size_t bytes)
-{
-	struct http_server *server = arg;
-	uint64_t max_bytes = server->settings.body_memory_bytes;
-
-	if (max_bytes && (server->body_memory_bytes > max_bytes ||
-			  bytes > max_bytes - server->body_memory_bytes))
-		return false;
-	server->body_memory_bytes += bytes;
-	return true;
-}
-
 static struct http_exchange *exchange_create(struct server_conn *conn)
 {
 	struct http_server *server = conn->server;
@@ -100,9 +88,7 @@
 		return NULL;
 	exchange->server = server;
 	exchange->conn = conn;
-	msg_init(&exchange->msg, HTTP_REQUEST);
-	exchange->msg.reserve = reserve_body;
-	exchange->msg.reserve_arg = server;
+	msg_init(&exchange->msg, HTTP_REQUEST, &server->body_memory);
 	DL_APPEND(server->exchanges, exchange);
 	conn->exchange = exchange;
 	return exchange;
@@ -116,7 +102,6 @@
 		exchange->conn->exchange = NULL;
 	if (exchange->dispatched)
 		server->nr_active--;
-	server->body_memory_bytes -= exchange->msg.reserved_bytes;
 	DL_DELETE(server->exchanges, exchange);
 	msg_release(&exchange->msg);
 	free(exchange);
@@ -135,7 +120,7 @@
 		return;
 	/* Unlinked first: the callback may destroy the server. */
 	exchange->server->nr_active--;
-	exchange->server->body_memory_bytes -= exchange->msg.reserved_bytes;
+	msg_unreserve(&exchange->msg);
 	DL_DELETE(exchange->server->exchanges, exchange);
 	exchange->abort(exchange->abort_arg);
 	msg_release(&exchange->msg);
@@ -653,6 +638,7 @@
 		return LOOP_ERR_MEMORY;
 	new->loop = loop;
 	new->settings = *settings;
+	new->body_memory.max_bytes = settings->body_memory_bytes;
 	new->handler = handler;
 	new->arg = arg;
 	err = loop_listen(loop, settings->address, on_accept, new,
--- a/almondward/service.h
+++ b/almondward/service.h
@@ -88,19 +88,31 @@
 
 /* ---- answers of backend servers ---- */
 
+/* The longest time for which a server can want no requests. */
+#define SVC_PAUSE_MAX_MS 3600000
+
+/* Whether a server that turned a request away wants none for some time. */
+enum svc_pause {
+	SVC_PAUSE_NONE, /* does not say, or none at all */
+	SVC_PAUSE_TIME, /* fractions are rounded up to milliseconds */
+	SVC_PAUSE_CUT, /* more than SVC_PAUSE_MAX_MS, which is taken instead */
+	SVC_PAUSE_UNREADABLE /* no number, or below 0: counts as none */
+};
+
 struct svc_answer {
 	const char *request_id; /* NULL: does not say */
 	const char *server_id;
 	bool not_run; /* the server says that it has not run the request */
 	bool misdirected; /* another server has the address */
-	bool leaving; /* closes its connections */
+	bool leaves; /* the server will end */
 	bool is_coded; /* not the bytes of the server as they were asked for */
 	bool has_load;
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
 	uint32_t idle_max_ms; /* of the connection, 0: does not say */
-	uint32_t retry_after_ms; /* 0: does not say */
+	enum svc_pause pause;
+	uint32_t pause_ms; /* SVC_PAUSE_TIME and SVC_PAUSE_CUT */
 };
 
 struct svc_adapter {
--- a/almondward/settings.h
+++ b/almondward/settings.h
@@ -50,6 +50,7 @@
 	uint32_t rate_overage_milli;
 	uint32_t rate_slack_milli;
 	uint32_t cold_slack_milli;
+	uint32_t drain_milli_s;
 	uint32_t lookup_ttl_milli_s;
 	uint32_t shift_milli;
 	uint32_t link_milli_mbit; /* per second, 0: not known */
--- a/almondward/settings_cluster.c
+++ b/almondward/settings_cluster.c
@@ -59,6 +59,8 @@
 	BOUND("rate_slack", rate_slack_milli, 20000),
 	/* Requests in a second that a cold server bears above its rate [5]. */
 	BOUND("cold_slack", cold_slack_milli, 5000),
+	/* A server that says that it leaves gets nothing after that [2.5 s]. */
+	BOUND("drain_s", drain_milli_s, 2500),
 	/* Largest lifetime of a look-up that callers heed [5 s]. */
 	BOUND("lookup_ttl_s", lookup_ttl_milli_s, 5000),
 	/* Share of a region's requests that may move within 2 s [0.15]. */
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -1,5 +1,6 @@
 #include "steer.h"
 
+#include "notice.h"
 #include "shift.h"
 
 #include <math.h>
@@ -38,6 +39,8 @@
 #define DISTURBED_MS 3000
 /* A process that starts learns of the servers one by one. */
 #define START_MS 6000
+/* A server that leaves loses what it knows; others take its work over. */
+#define LEAVING_MS 3000.0
 /* Heartbeats of a silent server are missing: most often it is dead. */
 #define SILENT_MS 3000.0
 /* How likely a server knows an object, by its place. */
@@ -115,6 +118,7 @@
 	bool evacuated;
 	bool gone; /* another server has its address */
 	bool used; /* a request was sent to it from here */
+	struct notice notice;
 	uint64_t cold_until_ms;
 	bool cold_allowed; /* this instance may use it while it is cold */
 	double cold_tokens;
@@ -183,6 +187,7 @@
 	size_t nr_instances; /* in the table, with this one */
 	size_t nr_regions;
 	struct memory *memory;
+	struct notice_store *notices; /* of servers that are not listed */
 	struct shift shift;
 	uint64_t measured_ms; /* when the need was last measured */
 	uint64_t joined_ms; /* the start is over by then */
@@ -200,7 +205,7 @@
 	static const char *const names[] = {
 		[STEER_SEND] = "send",	 [STEER_NO_SERVER] = "no_server",
 		[STEER_BUSY] = "busy",	 [STEER_COLD] = "cold",
-		[STEER_SHIFT] = "shift",
+		[STEER_SHIFT] = "shift", [STEER_PAUSED] = "paused",
 	};
 
 	return names[verdict];
@@ -212,7 +217,7 @@
 		[STEER_SUCCESS] = "success", [STEER_FAILURE] = "failure",
 		[STEER_SHED] = "shed",	     [STEER_UNREACHED] = "unreached",
 		[STEER_GONE] = "gone",	     [STEER_CANCELLED] = "cancelled",
-		[STEER_BROKEN] = "broken",
+		[STEER_BROKEN] = "broken",   [STEER_WITHDRAWN] = "withdrawn",
 	};
 
 	return names[outcome];
@@ -280,6 +285,11 @@
 
 	if (!steer)
 		return NULL;
+	steer->notices = notice_store_create();
+	if (!steer->notices) {
+		free(steer);
+		return NULL;
+	}
 	steer->clk = clk;
 	steer->cluster = cluster;
 	snprintf(steer->zone, sizeof(steer->zone), "%s", zone);
@@ -351,6 +361,7 @@
 		free_memory(steer, steer->memory);
 	while (steer->peers)
 		free_peer(steer, steer->peers);
+	notice_store_destroy(steer->notices);
 	free(steer);
 }
 
@@ -466,12 +477,20 @@
 	server->hash = hash_text(from->id);
 	server->factor = 1;
 	server->judged_ms = now_ms(steer);
+	notice_store_take(steer->notices, from->id, from->incarnation,
+			  &server->notice);
 	HASH_ADD_STR(steer->servers, id, server);
 	server->hash32 = (uint32_t)server->hash;
 	HASH_ADD(hh32, steer->by_hash, hash32, sizeof(server->hash32), server);
 	return server;
 }
 
+static void keep_notice(struct steer *steer, const struct steer_server *server)
+{
+	notice_store_put(steer->notices, server->id, server->incarnation,
+			 &server->notice, now_ms(steer));
+}
+
 /*
  * Takes a server out of the table. Its requests go on.
  */
@@ -483,6 +502,7 @@
 	HASH_DELETE(hh32, steer->by_hash, server);
 	// NOLINTEND(clang-analyzer-core.NullDereference)
 	server->listed = false;
+	keep_notice(steer, server);
 	if (server->inflight)
 		DL_APPEND(steer->unlisted, server);
 	else
@@ -998,6 +1018,14 @@
 			  server->region);
 }
 
+static enum notice_state notice_of(const struct steer *steer,
+				   const struct steer_server *server)
+{
+	return notice_state(&server->notice,
+			    steer->cluster->bounds.drain_milli_s,
+			    now_ms(steer));
+}
+
 static bool has_cold_token(const struct steer *steer,
 			   struct steer_server *server)
 {
@@ -1087,6 +1115,8 @@
 			(double)query->body_bytes / 1000 * OTHER_ZONE_MS_PER_KB;
 	if (server->silent)
 		at->cost_ms += SILENT_MS;
+	if (server->notice.leaving_ms)
+		at->cost_ms += LEAVING_MS;
 	if (now_ms(steer) < server->unreached_until_ms)
 		at->cost_ms += SILENT_MS;
 	/* Cold servers work at half speed. */
@@ -1180,10 +1210,39 @@
 	}
 }
 
+/* Why servers that could serve the request get none now. */
+struct held_back {
+	bool cold;
+	uint64_t quiet_until_ms; /* of the first one to return, 0: none */
+};
+
+static bool is_held_back(struct steer *steer, struct steer_server *server,
+			 struct held_back *held_back)
+{
+	uint64_t until_ms = server->notice.quiet_until_ms;
+
+	switch (notice_of(steer, server)) {
+	case NOTICE_LEFT:
+		return true;
+	case NOTICE_QUIET:
+		if (!held_back->quiet_until_ms ||
+		    until_ms < held_back->quiet_until_ms)
+			held_back->quiet_until_ms = until_ms;
+		return true;
+	default:
+		break;
+	}
+	if (server->cold_until_ms <= now_ms(steer) ||
+	    has_cold_token(steer, server))
+		return false;
+	held_back->cold = true;
+	return true;
+}
+
 static size_t collect(struct steer *steer, const struct steer_query *query,
 		      const struct upstream *upstream,
 		      struct candidate *candidates, struct ranks *ranks,
-		      bool *cold_only)
+		      struct held_back *held_back)
 {
 	const struct memory *memory =
 		query->has_object ? find_memory(steer, query->object) : NULL;
@@ -1191,18 +1250,14 @@
 	size_t nr = 0;
 
 	memset(ranks, 0, sizeof(*ranks));
-	*cold_only = false;
+	memset(held_back, 0, sizeof(*held_back));
 	for (size_t i = 0; i < upstream->nr_servers; i++) {
 		struct steer_server *server = upstream->servers[i];
 		struct candidate *at = &candidates[nr];
 
-		if (!is_usable(query, server))
-			continue;
-		if (server->cold_until_ms > at_ms &&
-		    !has_cold_token(steer, server)) {
-			*cold_only = true;
+		if (!is_usable(query, server) ||
+		    is_held_back(steer, server, held_back))
 			continue;
-		}
 		memset(at, 0, sizeof(*at));
 		at->server = server;
 		at->score = mix(query->object ^ server->hash);
@@ -1303,7 +1358,8 @@
 	struct candidate *candidates, *best = NULL, *least = NULL;
 	struct upstream *upstream;
 	struct ranks ranks;
-	bool cold_only, is_shift;
+	struct held_back held_back;
+	bool is_shift;
 	size_t nr;
 
 	read_clock(steer);
@@ -1316,7 +1372,7 @@
 	candidates = malloc(upstream->nr_servers * sizeof(*candidates));
 	if (!candidates)
 		return;
-	nr = collect(steer, query, upstream, candidates, &ranks, &cold_only);
+	nr = collect(steer, query, upstream, candidates, &ranks, &held_back);
 	for (size_t i = 0; i < nr; i++) {
 		struct candidate *at = &candidates[i];
 
@@ -1333,8 +1389,12 @@
 		fill_choice(steer, least, choice);
 		choice->verdict = is_shift ? STEER_SHIFT : STEER_BUSY;
 		choice->retry_after_ms = retry_after(steer, least->wait_ms);
-	} else if (cold_only) {
+	} else if (held_back.cold) {
 		choice->verdict = STEER_COLD;
+	} else if (held_back.quiet_until_ms) {
+		choice->verdict = STEER_PAUSED;
+		choice->retry_after_ms +=
+			(uint32_t)(held_back.quiet_until_ms - now_ms(steer));
 	}
 	free(candidates);
 }
@@ -1452,10 +1512,11 @@
 	case STEER_GONE:
 		server->gone = true;
 		break;
+	case STEER_WITHDRAWN:
 	case STEER_CANCELLED:
 		break;
 	}
-	if (outcome != STEER_CANCELLED)
+	if (outcome != STEER_CANCELLED && outcome != STEER_WITHDRAWN)
 		server->failures +=
 			((failed ? 1 : 0) - server->failures) * FAILURE_WEIGHT;
 	if (server->listed || server->inflight)
@@ -1464,6 +1525,59 @@
 	free_server(steer, server);
 }
 
+/* ---- notices ---- */
+
+/*
+ * An answer may come after the table has forgotten the server and named the
+ * same start of it again.
+ */
+static struct steer_server *listed(const struct steer *steer,
+				   struct steer_server *server)
+{
+	struct steer_server *at;
+
+	if (server->listed)
+		return server;
+	HASH_FIND_STR(steer->servers, server->id, at);
+	return at && at->incarnation == server->incarnation ? at : server;
+}
+
+bool steer_server_leaves(struct steer *steer, struct steer_server *server)
+{
+	uint64_t at_ms = read_clock(steer);
+	bool is_news;
+
+	server = listed(steer, server);
+	is_news = notice_leave(&server->notice, at_ms);
+	if (!server->listed)
+		keep_notice(steer, server);
+	return is_news;
+}
+
+bool steer_server_pauses(struct steer *steer, struct steer_server *server,
+			 uint32_t pause_ms)
+{
+	uint64_t at_ms = read_clock(steer);
+	bool is_news;
+
+	server = listed(steer, server);
+	is_news = at_ms >= server->notice.quiet_until_ms;
+	notice_pause(&server->notice, pause_ms, erand48(steer->random_state),
+		     at_ms);
+	if (!server->listed)
+		keep_notice(steer, server);
+	return is_news;
+}
+
+bool steer_may_send(struct steer *steer, const struct steer_server *server)
+{
+	enum notice_state state;
+
+	read_clock(steer);
+	state = notice_of(steer, server);
+	return state != NOTICE_LEFT && state != NOTICE_QUIET;
+}
+
 void steer_tick(struct steer *steer)
 {
 	uint64_t at_ms = read_clock(steer);
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -67,6 +67,7 @@
 	STEER_NO_SERVER, /* no server of the upstream may be used */
 	STEER_BUSY, /* none can serve the request in time */
 	STEER_COLD, /* only cold servers, which bear no more now */
+	STEER_PAUSED, /* the servers asked for no requests for some time */
 	STEER_SHIFT /* would move too much traffic between regions at once */
 };
 
@@ -91,6 +92,7 @@
 	STEER_SHED, /* the server did not run it for lack of room */
 	STEER_UNREACHED, /* no connection, nothing was sent */
 	STEER_GONE, /* another server has the address */
+	STEER_WITHDRAWN, /* not sent: the server must get none any more */
 	STEER_CANCELLED /* the caller left, or the time was up */
 };
 
@@ -136,6 +138,19 @@
 		 const struct steer_sending *sending,
 		 const struct steer_load *load);
 
+/*
+ * What a server said of itself in an answer, see notice.h. To be called before
+ * steer_ended(). Return whether that is news.
+ */
+bool steer_server_leaves(struct steer *steer, struct steer_server *server);
+bool steer_server_pauses(struct steer *steer, struct steer_server *server,
+			 uint32_t pause_ms);
+
+/*
+ * Whether a request that was meant for the server may be sent now.
+ */
+bool steer_may_send(struct steer *steer, const struct steer_server *server);
+
 /*
  * A connection to the server took so long to be established.
  */
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -26,6 +26,7 @@
 	uint32_t status = 0;
 	std::string answer;
 	std::vector<std::pair<std::string, std::string>> headers;
+	std::vector<std::string> failed_headers;
 
 	explicit Client(const char *method = "GET",
 			const char *address = nullptr)
@@ -59,6 +60,7 @@
 	{
 		auto self = (Client *)arg;
 		const struct http_response *response = &outcome->response;
+		const struct http_response *head = &outcome->failed_head;
 
 		self->done = true;
 		self->result = outcome->result;
@@ -69,6 +71,8 @@
 		for (size_t i = 0; i < response->nr_headers; i++)
 			self->headers.push_back({ response->headers[i].name,
 						  response->headers[i].value });
+		for (size_t i = 0; i < head->nr_headers; i++)
+			self->failed_headers.push_back(head->headers[i].name);
 		self->reusable = http_conn_reusable(conn);
 		if (self->destroy_in_done) {
 			http_conn_destroy(conn);
@@ -475,3 +479,156 @@
 	EXPECT_FALSE(c.done);
 	EXPECT_TRUE(c.server.last.closed);
 }
+
+// ---- bytes without end ----
+
+// Feeds pieces until the call ends; returns the bytes that were fed.
+static size_t feed_without_end(Client &c, const std::string &begin,
+			       const std::string &piece, size_t most_bytes)
+{
+	size_t fed = begin.size();
+
+	c.call.timeout_ms = 60000;
+	c.call.answer_max_bytes = 1 << 20;
+	c.start_and_wait();
+	c.server.last.send(begin);
+	while (!c.done && fed < most_bytes && c.server.last.conn) {
+		c.server.last.send(piece);
+		fed += piece.size();
+		c.net.until([&] {
+			return c.done || !c.server.last.conn ||
+			       !loop_conn_queued_bytes(c.server.last.conn);
+		});
+	}
+	c.net.until([&] { return c.done; }, 1000);
+	return fed;
+}
+
+// A server in trouble may send bytes that never become an answer. Each must
+// end at a bound, without the memory growing with what was sent.
+TEST(HttpClient, BytesWithoutEndAreBounded)
+{
+	const std::string many(4096, 'x');
+	const struct {
+		const char *name;
+		std::string begin, piece;
+		enum http_result result;
+		size_t most_bytes;
+	} rows[] = {
+		{ "status line", "HTTP/1.1 200 ", many, HTTP_MALFORMED,
+		  1 << 16 },
+		{ "header lines", OK, "X-Filler: " + many + "\r\n",
+		  HTTP_MALFORMED, 1 << 16 },
+		{ "one header line", OK + "X-Filler: ", many, HTTP_MALFORMED,
+		  1 << 16 },
+		{ "informational answers", "",
+		  "HTTP/1.1 102 Processing\r\n\r\n", HTTP_MALFORMED, 1 << 16 },
+		{ "chunk extension", OK + TE + "\r\n1;a=", many, HTTP_MALFORMED,
+		  1 << 17 },
+		{ "chunk extensions", OK + TE + "\r\n",
+		  "1;a=" + many + "\r\nx\r\n", HTTP_TOO_LARGE, 1 << 16 },
+		{ "trailer", OK + TE + "\r\n0\r\nX-Filler: ", many,
+		  HTTP_MALFORMED, 1 << 17 },
+		{ "trailers", OK + TE + "\r\n0\r\n",
+		  "X-Filler: " + many + "\r\n", HTTP_MALFORMED, 1 << 17 },
+		{ "chunks", OK + TE + "\r\n", "1000\r\n" + many + "\r\n",
+		  HTTP_TOO_LARGE, 3 << 20 },
+		{ "body without length", OK + "\r\n", many, HTTP_MALFORMED,
+		  1 << 16 },
+		{ "body of absurd length",
+		  OK + "Content-Length: 99999999999999\r\n\r\n", many,
+		  HTTP_TOO_LARGE, 1 << 16 },
+	};
+
+	for (const auto &row : rows) {
+		Client c;
+		size_t fed = feed_without_end(c, row.begin, row.piece,
+					      4 * row.most_bytes);
+
+		ASSERT_TRUE(c.done) << row.name;
+		if (row.result == HTTP_MALFORMED)
+			EXPECT_TRUE(c.result == HTTP_MALFORMED ||
+				    c.result == HTTP_TOO_LARGE)
+				<< row.name;
+		else
+			EXPECT_EQ(row.result, c.result) << row.name;
+		EXPECT_LE(fed, row.most_bytes) << row.name;
+		EXPECT_FALSE(c.reusable) << row.name;
+	}
+}
+
+// A second answer may be sent again and again.
+TEST(HttpClient, AnswersOfOtherRequestsWithoutEndAreBounded)
+{
+	Client c;
+
+	c.call.is_mine = [](void *, const struct http_response *) {
+		return false;
+	};
+	size_t fed = feed_without_end(c, "", OK + CL3 + "\r\nabc", 1 << 16);
+	ASSERT_TRUE(c.done);
+	EXPECT_EQ(HTTP_MALFORMED, c.result);
+	EXPECT_LT(fed, 1u << 12);
+	EXPECT_FALSE(c.reusable);
+}
+
+// One byte at a time keeps no call alive beyond its time.
+TEST(HttpClient, BytesOneByOneEndWithTheTimeOfTheCall)
+{
+	Client c;
+
+	c.call.timeout_ms = 300;
+	c.start_and_wait();
+	c.server.last.send(OK);
+	uint64_t start_ms = clk_now_ms(c.net.clk);
+	while (!c.done && clk_now_ms(c.net.clk) < start_ms + 3000) {
+		c.server.last.send("X");
+		c.net.run_ms(10);
+	}
+	ASSERT_TRUE(c.done);
+	EXPECT_EQ(HTTP_TIMEOUT, c.result);
+	EXPECT_LE(clk_now_ms(c.net.clk), start_ms + 1000);
+	EXPECT_FALSE(c.reusable);
+}
+
+// Several servers at once: together they get no more than the shared memory,
+// and give it back.
+TEST(HttpClient, AnswersShareMemory)
+{
+	struct http_memory memory = { 100000, 0 };
+	Client first, second;
+
+	for (Client *c : { &first, &second }) {
+		c->call.answer_memory = &memory;
+		c->call.answer_max_bytes = 90000;
+		c->call.timeout_ms = 5000;
+		c->start_and_wait();
+	}
+	first.server.last.send(OK + "Content-Length: 60000\r\n\r\n");
+	ASSERT_TRUE(first.net.until([&] { return memory.used_bytes > 0; }));
+	EXPECT_EQ(60000u, memory.used_bytes);
+	second.server.last.send(OK + "Content-Length: 50000\r\n\r\n");
+	ASSERT_TRUE(second.finish());
+	EXPECT_EQ(HTTP_MEMORY, second.result);
+	first.server.last.close();
+	ASSERT_TRUE(first.finish());
+	EXPECT_EQ(HTTP_CUT, first.result);
+	EXPECT_EQ(0u, memory.used_bytes);
+}
+
+// The head of an answer that was cut is handed on: a server says in it that it
+// leaves.
+TEST(HttpClient, HeadOfACutAnswerIsTold)
+{
+	Client c;
+
+	c.start_and_wait();
+	c.server.last.send(OK + "Server-Leaving: 1\r\n" + CL3 + "\r\na");
+	c.net.run_ms(20);
+	c.server.last.close();
+	ASSERT_TRUE(c.finish());
+	EXPECT_EQ(HTTP_CUT, c.result);
+	EXPECT_EQ(0u, c.status);
+	ASSERT_EQ(2u, c.failed_headers.size());
+	EXPECT_EQ("Server-Leaving", c.failed_headers[0]);
+}
--- a/tests/http_msg_test.cc
+++ b/tests/http_msg_test.cc
@@ -22,7 +22,7 @@
 	Parsed parsed;
 	size_t used;
 
-	msg_init(&msg, type);
+	msg_init(&msg, type, nullptr);
 	parsed.status = MSG_MORE;
 	while (parsed.used < in.size() && parsed.status == MSG_MORE) {
 		size_t left = std::min(piece, in.size() - parsed.used);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -227,3 +227,65 @@
 		EXPECT_FALSE(answer.has_load) << load;
 	}
 }
+
+static struct svc_answer read_answer(uint32_t status,
+				     std::vector<struct http_header> headers)
+{
+	struct http_response response = {};
+	struct svc_answer answer;
+
+	response.status = status;
+	response.headers = headers.data();
+	response.nr_headers = headers.size();
+	platform_adapter()->read_answer(&response, &answer);
+	return answer;
+}
+
+// A server says that it leaves in any answer.
+TEST(Platform, DecodesThatAServerLeaves)
+{
+	for (uint32_t status : { 200, 421, 429, 500, 503 })
+		EXPECT_TRUE(read_answer(status, { { "Server-Leaving", "1" } })
+				    .leaves)
+			<< status;
+	EXPECT_FALSE(read_answer(200, { { "Server-Leaving", "0" } }).leaves);
+	EXPECT_FALSE(read_answer(200, { { "Connection", "close" } }).leaves);
+}
+
+TEST(Platform, DecodesPauses)
+{
+	const struct {
+		const char *text;
+		enum svc_pause pause;
+		uint32_t pause_ms;
+	} rows[] = {
+		{ "2", SVC_PAUSE_TIME, 2000 },
+		{ "0.25", SVC_PAUSE_TIME, 250 },
+		{ "1.", SVC_PAUSE_TIME, 1000 },
+		{ "0.0001", SVC_PAUSE_TIME, 1 },
+		{ "0", SVC_PAUSE_NONE, 0 },
+		{ "0.0", SVC_PAUSE_NONE, 0 },
+		{ "3600", SVC_PAUSE_TIME, 3600000 },
+		{ "3601", SVC_PAUSE_CUT, 3600000 },
+		{ "99999999999999999999999", SVC_PAUSE_CUT, 3600000 },
+		{ "-1", SVC_PAUSE_UNREADABLE, 0 },
+		{ "", SVC_PAUSE_UNREADABLE, 0 },
+		{ "soon", SVC_PAUSE_UNREADABLE, 0 },
+		{ "1e3", SVC_PAUSE_UNREADABLE, 0 },
+		{ "0x10", SVC_PAUSE_UNREADABLE, 0 },
+		{ "inf", SVC_PAUSE_UNREADABLE, 0 },
+		{ "nan", SVC_PAUSE_UNREADABLE, 0 },
+		{ "2 s", SVC_PAUSE_UNREADABLE, 0 },
+		{ "Wed, 21 Oct 2026 07:28:00 GMT", SVC_PAUSE_UNREADABLE, 0 },
+	};
+
+	for (const auto &row : rows) {
+		auto answer = read_answer(503, { { "Retry-After", row.text } });
+
+		EXPECT_EQ(row.pause, answer.pause) << row.text;
+		EXPECT_EQ(row.pause_ms, answer.pause_ms) << row.text;
+	}
+	EXPECT_EQ(SVC_PAUSE_NONE, read_answer(503, {}).pause);
+	EXPECT_EQ(SVC_PAUSE_NONE,
+		  read_answer(429, { { "Retry-After", "2" } }).pause);
+}
--- a/tests/steer_test.cc
+++ b/tests/steer_test.cc
@@ -774,3 +774,130 @@
 	after = count();
 	EXPECT_LE(std::abs(before - after), 150);
 }
+
+// ---- what servers say of themselves ----
+
+// Pattern: a release. A server that leaves is the last choice at once and gets
+// nothing after half of the drain time; what runs there is finished.
+TEST_F(Steer, LeavingServerIsTheLastChoice)
+{
+	cluster.bounds.drain_milli_s = 2500;
+	add("s1", "a1", 1);
+	add("s2", "a2", 1);
+	sync();
+	auto first = pick(query(1));
+	auto running = query(1);
+	steer_sent(steer, first.server, &running);
+	EXPECT_TRUE(steer_server_leaves(steer, first.server));
+	EXPECT_FALSE(steer_server_leaves(steer, first.server));
+	auto second = pick(query(1));
+	ASSERT_EQ(STEER_SEND, second.verdict);
+	EXPECT_NE(id(first), id(second));
+	end(first, query(1), STEER_SUCCESS);
+	// The other one is gone: the leaving one still serves.
+	topo_leave(topo, id(second).c_str(), UINT64_MAX);
+	sync();
+	EXPECT_EQ(id(first), id(pick(query(1))));
+	EXPECT_TRUE(steer_may_send(steer, first.server));
+	clk_advance_ms(clk, 1250);
+	EXPECT_EQ(STEER_NO_SERVER, pick(query(1)).verdict);
+	EXPECT_FALSE(steer_may_send(steer, first.server))
+		<< "a request that waited for its connection";
+}
+
+// A new leader without a table drops all servers and takes them in again with
+// their next heartbeats. The one that leaves must not come back, but a later
+// start of it must.
+TEST_F(Steer, LeavingServerStaysOutWhenTheTableIsBuiltAnew)
+{
+	Aw__Server again = AW__SERVER__INIT;
+
+	cluster.bounds.drain_milli_s = 2500;
+	add("s1", "a1");
+	sync();
+	steer_server_leaves(steer, pick(query(1)).server);
+	clk_advance_ms(clk, 1250);
+	topo_leave(topo, "s1", UINT64_MAX);
+	sync();
+	again.id = (char *)"s1";
+	again.upstream = (char *)"u";
+	again.address = (char *)"10.0.0.1:1";
+	again.zone = (char *)"a1";
+	again.slots = 4;
+	again.incarnation = 1;
+	again.sequence = 5;
+	ASSERT_EQ(TOPO_TAKEN, topo_heartbeat(topo, &again));
+	sync();
+	EXPECT_EQ(STEER_NO_SERVER, pick(query(1)).verdict);
+	again.incarnation = 2;
+	ASSERT_EQ(TOPO_TAKEN, topo_heartbeat(topo, &again));
+	sync();
+	EXPECT_EQ(STEER_SEND, pick(query(1)).verdict);
+}
+
+// The answer that says it may come after the table has named the server again.
+TEST_F(Steer, NoticeReachesTheServerThatWasListedAgain)
+{
+	cluster.bounds.drain_milli_s = 0;
+	add("s1", "a1");
+	sync();
+	auto choice = pick(query(1));
+	auto asked = query(1);
+	steer_sent(steer, choice.server, &asked);
+	Aw__Server again = AW__SERVER__INIT;
+	again.id = (char *)"s1";
+	again.upstream = (char *)"u";
+	again.address = (char *)"10.0.0.1:1";
+	again.zone = (char *)"a1";
+	again.slots = 4;
+	again.incarnation = 1;
+	again.sequence = 5;
+	topo_leave(topo, "s1", UINT64_MAX);
+	sync();
+	ASSERT_EQ(TOPO_TAKEN, topo_heartbeat(topo, &again));
+	sync();
+	steer_server_leaves(steer, choice.server);
+	end(choice, asked, STEER_FAILURE);
+	EXPECT_EQ(STEER_NO_SERVER, pick(query(1)).verdict);
+}
+
+// Pattern: a full service whose servers ask for quiet. Requests go to the
+// others; when all are quiet, callers are told when the first one returns.
+TEST_F(Steer, PausedServersGetNothingAndCallersHearWhen)
+{
+	add("s1", "a1");
+	add("s2", "a2");
+	sync();
+	auto first = pick(query(1));
+	EXPECT_TRUE(steer_server_pauses(steer, first.server, 2000));
+	auto second = pick(query(1));
+	ASSERT_EQ(STEER_SEND, second.verdict);
+	EXPECT_NE(id(first), id(second));
+	EXPECT_FALSE(steer_may_send(steer, first.server));
+	steer_server_pauses(steer, second.server, 8000);
+	auto none = pick(query(1));
+	EXPECT_EQ(STEER_PAUSED, none.verdict);
+	EXPECT_GE(none.retry_after_ms, 2000u);
+	EXPECT_LE(none.retry_after_ms, 2500u + 1200u);
+	clk_advance_ms(clk, 1999);
+	EXPECT_EQ(STEER_PAUSED, pick(query(1)).verdict);
+	clk_advance_ms(clk, 501);
+	EXPECT_EQ(id(first), id(pick(query(1))));
+}
+
+// A request that was not sent for a notice says nothing about the server.
+TEST_F(Steer, WithdrawnRequestIsNoFailure)
+{
+	add("s1", "a1");
+	add("s2", "b1");
+	sync();
+	for (int i = 0; i < 20; i++) {
+		auto choice = pick(query(1));
+		auto asked = query(1);
+
+		ASSERT_EQ("s1", id(choice));
+		steer_sent(steer, choice.server, &asked);
+		end(choice, asked, STEER_WITHDRAWN);
+	}
+	EXPECT_EQ("s1", id(pick(query(1))));
+}
