--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -89,7 +89,11 @@
 typedef struct Aw__Heartbeats Aw__Heartbeats;
 typedef struct Aw__ReadIndex Aw__ReadIndex;
 typedef struct Aw__ReadIndexReply Aw__ReadIndexReply;
-typedef struct Aw__Loads Aw__Loads;
+typedef struct Aw__Needs Aw__Needs;
+typedef struct Aw__SlotAsk Aw__SlotAsk;
+typedef struct Aw__SlotTold Aw__SlotTold;
+typedef struct Aw__SlotEnd Aw__SlotEnd;
+typedef struct Aw__Datagram Aw__Datagram;
 typedef struct Aw__Propose Aw__Propose;
 typedef struct Aw__ProposeReply Aw__ProposeReply;
 typedef struct Aw__Hello Aw__Hello;
@@ -163,6 +167,13 @@
   AW__BUCKET_KIND__BUCKET_LINK = 1
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__BUCKET_KIND)
 } Aw__BucketKind;
+typedef enum _Aw__SlotEndKind {
+  AW__SLOT_END_KIND__SLOT_UNTOLD = 0,
+  AW__SLOT_END_KIND__SLOT_KNEW = 1,
+  AW__SLOT_END_KIND__SLOT_DID_NOT_KNOW = 2,
+  AW__SLOT_END_KIND__SLOT_NOT_SENT = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__SLOT_END_KIND)
+} Aw__SlotEndKind;
 typedef enum _Aw__ProposeStatus {
   /*
    * result is set
@@ -1632,30 +1643,105 @@
 
 
 /*
- * A datagram between entry instances: requests under way at servers.
+ * Requests that an instance has under way, for the others of its region.
  */
-struct  Aw__Loads
+struct  Aw__Needs
 {
   ProtobufCMessage base;
   char *instance;
   uint64_t incarnation;
   uint64_t sequence;
   /*
-   * hashes of server ids
+   * hashes of their names
    */
-  size_t n_servers;
-  uint32_t *servers;
+  size_t n_upstreams;
+  uint32_t *upstreams;
   /*
    * in the same order
    */
   size_t n_running;
   uint32_t *running;
 };
-#define AW__LOADS__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&aw__loads__descriptor) \
+#define AW__NEEDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__needs__descriptor) \
     , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
 
 
+/*
+ * To the coordinator of a server, before a request is sent there.
+ */
+struct  Aw__SlotAsk
+{
+  ProtobufCMessage base;
+  uint64_t token;
+  /*
+   * hash of its id
+   */
+  uint32_t server;
+  /*
+   * hash of its name
+   */
+  uint32_t upstream;
+  protobuf_c_boolean has_object;
+  uint64_t object;
+  uint32_t left_ms;
+};
+#define AW__SLOT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__slot_ask__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+struct  Aw__SlotTold
+{
+  ProtobufCMessage base;
+  uint64_t token;
+  uint32_t running;
+  protobuf_c_boolean knows;
+};
+#define AW__SLOT_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__slot_told__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Aw__SlotEnd
+{
+  ProtobufCMessage base;
+  uint64_t token;
+  Aw__SlotEndKind end;
+};
+#define AW__SLOT_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__slot_end__descriptor) \
+    , 0, AW__SLOT_END_KIND__SLOT_UNTOLD }
+
+
+typedef enum {
+  AW__DATAGRAM__BODY__NOT_SET = 0,
+  AW__DATAGRAM__BODY_NEEDS = 1,
+  AW__DATAGRAM__BODY_SLOT_ASK = 2,
+  AW__DATAGRAM__BODY_SLOT_TOLD = 3,
+  AW__DATAGRAM__BODY_SLOT_END = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__DATAGRAM__BODY__CASE)
+} Aw__Datagram__BodyCase;
+
+/*
+ * Between entry instances.
+ */
+struct  Aw__Datagram
+{
+  ProtobufCMessage base;
+  Aw__Datagram__BodyCase body_case;
+  union {
+    Aw__Needs *needs;
+    Aw__SlotAsk *slot_ask;
+    Aw__SlotTold *slot_told;
+    Aw__SlotEnd *slot_end;
+  };
+};
+#define AW__DATAGRAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__datagram__descriptor) \
+    , AW__DATAGRAM__BODY__NOT_SET, {0} }
+
+
 struct  Aw__Propose
 {
   ProtobufCMessage base;
@@ -3165,24 +3251,100 @@
 void   aw__read_index_reply__free_unpacked
                      (Aw__ReadIndexReply *message,
                       ProtobufCAllocator *allocator);
-/* Aw__Loads methods */
-void   aw__loads__init
-                     (Aw__Loads         *message);
-size_t aw__loads__get_packed_size
-                     (const Aw__Loads   *message);
-size_t aw__loads__pack
-                     (const Aw__Loads   *message,
+/* Aw__Needs methods */
+void   aw__needs__init
+                     (Aw__Needs         *message);
+size_t aw__needs__get_packed_size
+                     (const Aw__Needs   *message);
+size_t aw__needs__pack
+                     (const Aw__Needs   *message,
+                      uint8_t             *out);
+size_t aw__needs__pack_to_buffer
+                     (const Aw__Needs   *message,
+                      ProtobufCBuffer     *buffer);
+Aw__Needs *
+       aw__needs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   aw__needs__free_unpacked
+                     (Aw__Needs *message,
+                      ProtobufCAllocator *allocator);
+/* Aw__SlotAsk methods */
+void   aw__slot_ask__init
+                     (Aw__SlotAsk         *message);
+size_t aw__slot_ask__get_packed_size
+                     (const Aw__SlotAsk   *message);
+size_t aw__slot_ask__pack
+                     (const Aw__SlotAsk   *message,
+                      uint8_t             *out);
+size_t aw__slot_ask__pack_to_buffer
+                     (const Aw__SlotAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Aw__SlotAsk *
+       aw__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   aw__slot_ask__free_unpacked
+                     (Aw__SlotAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Aw__SlotTold methods */
+void   aw__slot_told__init
+                     (Aw__SlotTold         *message);
+size_t aw__slot_told__get_packed_size
+                     (const Aw__SlotTold   *message);
+size_t aw__slot_told__pack
+                     (const Aw__SlotTold   *message,
                       uint8_t             *out);
-size_t aw__loads__pack_to_buffer
-                     (const Aw__Loads   *message,
+size_t aw__slot_told__pack_to_buffer
+                     (const Aw__SlotTold   *message,
                       ProtobufCBuffer     *buffer);
-Aw__Loads *
-       aw__loads__unpack
+Aw__SlotTold *
+       aw__slot_told__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   aw__loads__free_unpacked
-                     (Aw__Loads *message,
+void   aw__slot_told__free_unpacked
+                     (Aw__SlotTold *message,
+                      ProtobufCAllocator *allocator);
+/* Aw__SlotEnd methods */
+void   aw__slot_end__init
+                     (Aw__SlotEnd         *message);
+size_t aw__slot_end__get_packed_size
+                     (const Aw__SlotEnd   *message);
+size_t aw__slot_end__pack
+                     (const Aw__SlotEnd   *message,
+                      uint8_t             *out);
+size_t aw__slot_end__pack_to_buffer
+                     (const Aw__SlotEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Aw__SlotEnd *
+       aw__slot_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   aw__slot_end__free_unpacked
+                     (Aw__SlotEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Aw__Datagram methods */
+void   aw__datagram__init
+                     (Aw__Datagram         *message);
+size_t aw__datagram__get_packed_size
+                     (const Aw__Datagram   *message);
+size_t aw__datagram__pack
+                     (const Aw__Datagram   *message,
+                      uint8_t             *out);
+size_t aw__datagram__pack_to_buffer
+                     (const Aw__Datagram   *message,
+                      ProtobufCBuffer     *buffer);
+Aw__Datagram *
+       aw__datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   aw__datagram__free_unpacked
+                     (Aw__Datagram *message,
                       ProtobufCAllocator *allocator);
 /* Aw__Propose methods */
 void   aw__propose__init
@@ -3503,8 +3665,20 @@
 typedef void (*Aw__ReadIndexReply_Closure)
                  (const Aw__ReadIndexReply *message,
                   void *closure_data);
-typedef void (*Aw__Loads_Closure)
-                 (const Aw__Loads *message,
+typedef void (*Aw__Needs_Closure)
+                 (const Aw__Needs *message,
+                  void *closure_data);
+typedef void (*Aw__SlotAsk_Closure)
+                 (const Aw__SlotAsk *message,
+                  void *closure_data);
+typedef void (*Aw__SlotTold_Closure)
+                 (const Aw__SlotTold *message,
+                  void *closure_data);
+typedef void (*Aw__SlotEnd_Closure)
+                 (const Aw__SlotEnd *message,
+                  void *closure_data);
+typedef void (*Aw__Datagram_Closure)
+                 (const Aw__Datagram *message,
                   void *closure_data);
 typedef void (*Aw__Propose_Closure)
                  (const Aw__Propose *message,
@@ -3535,6 +3709,7 @@
 extern const ProtobufCEnumDescriptor    aw__instance_state__descriptor;
 extern const ProtobufCEnumDescriptor    aw__server_state__descriptor;
 extern const ProtobufCEnumDescriptor    aw__bucket_kind__descriptor;
+extern const ProtobufCEnumDescriptor    aw__slot_end_kind__descriptor;
 extern const ProtobufCEnumDescriptor    aw__propose_status__descriptor;
 extern const ProtobufCEnumDescriptor    aw__role__descriptor;
 extern const ProtobufCMessageDescriptor aw__zone__descriptor;
@@ -3611,7 +3786,11 @@
 extern const ProtobufCMessageDescriptor aw__heartbeats__descriptor;
 extern const ProtobufCMessageDescriptor aw__read_index__descriptor;
 extern const ProtobufCMessageDescriptor aw__read_index_reply__descriptor;
-extern const ProtobufCMessageDescriptor aw__loads__descriptor;
+extern const ProtobufCMessageDescriptor aw__needs__descriptor;
+extern const ProtobufCMessageDescriptor aw__slot_ask__descriptor;
+extern const ProtobufCMessageDescriptor aw__slot_told__descriptor;
+extern const ProtobufCMessageDescriptor aw__slot_end__descriptor;
+extern const ProtobufCMessageDescriptor aw__datagram__descriptor;
 extern const ProtobufCMessageDescriptor aw__propose__descriptor;
 extern const ProtobufCMessageDescriptor aw__propose_reply__descriptor;
 extern const ProtobufCMessageDescriptor aw__hello__descriptor;
--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -134,10 +134,12 @@
 	gw_link_tick(gw);
 	gw_request_tick(gw);
 	gossip_tick(gw->gossip);
+	gw_slots_tick(gw);
 	if (now_ms >= gw->slow_ms + SLOW_TICK_MS) {
 		gw->slow_ms = now_ms;
 		gw_backend_tick(gw);
 		steer_tick(gw->steer);
+		coord_tick(gw->slots.coord);
 	}
 	if (gw->stop_ms)
 		run_stop(gw);
@@ -233,6 +235,8 @@
 		.steer = gw->steer,
 		.topo = gw->topo,
 		.counters = gw->counters,
+		.datagram = gw_slots_datagram,
+		.arg = gw,
 	};
 
 	set_peer_address(cluster, cluster->listen_callers, address);
@@ -247,6 +251,7 @@
 	if (sodium_init() < 0)
 		return -1;
 	randombytes_buf(&gw->incarnation, sizeof(gw->incarnation));
+	randombytes_buf(gw->random_state, sizeof(gw->random_state));
 	gw->clk = clk_create_system();
 	gw->counters = ctr_set_create();
 	if (!gw->clk || !gw->counters)
@@ -270,7 +275,7 @@
 			&gw->ready) ||
 	    open_server(gw, cluster->listen_metrics, on_metrics,
 			CONNECTIONS_MAX, &gw->metrics) ||
-	    gw_link_open(gw) || open_gossip(gw))
+	    gw_link_open(gw) || gw_slots_open(gw) || open_gossip(gw))
 		return -1;
 	if (loop_on_stop_signal(gw->loop, on_stop, gw) ||
 	    loop_on_reload_signal(gw->loop, on_reload, gw))
@@ -310,6 +315,7 @@
 	http_server_destroy(gw->metrics);
 	gw_link_close(gw);
 	gossip_destroy(gw->gossip);
+	gw_slots_close(gw);
 	steer_destroy(gw->steer);
 	topo_destroy(gw->topo);
 	plan_destroy(gw->plan);
--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -17,6 +17,7 @@
 
 struct idle {
 	struct http_conn *conn;
+	bool is_new; /* no call was made over it */
 	uint64_t until_ms;
 	struct idle *prev, *next; /* newest first */
 };
@@ -25,17 +26,25 @@
 struct gw_backend {
 	struct idle *idle;
 	size_t nr_idle;
+	struct steer_server *server; /* NULL: is being forgotten */
 	struct gw_backend *prev, *next;
 };
 
-static void close_idle(struct gw_backend *backend, struct idle *at)
+static void remove_idle(struct gw_backend *backend, struct idle *at)
 {
 	DL_DELETE(backend->idle, at);
 	backend->nr_idle--;
-	http_conn_destroy(at->conn);
+	if (backend->server)
+		steer_server_set_idle(backend->server, backend->nr_idle);
 	free(at);
 }
 
+static void close_idle(struct gw_backend *backend, struct idle *at)
+{
+	http_conn_destroy(at->conn);
+	remove_idle(backend, at);
+}
+
 static struct gw_backend *get_backend(struct gw *gw,
 				      struct steer_server *server)
 {
@@ -46,13 +55,22 @@
 	backend = calloc(1, sizeof(*backend));
 	if (!backend)
 		return NULL;
+	backend->server = server;
 	DL_APPEND(gw->backends, backend);
 	steer_server_set_data(server, backend);
 	return backend;
 }
 
+/*
+ * A connection that is established, or will be.
+ */
+static bool is_usable(const struct idle *at)
+{
+	return http_conn_reusable(at->conn) || http_conn_opening(at->conn);
+}
+
 static struct http_conn *take_idle(struct gw *gw, struct steer_server *server,
-				   uint64_t idle_max_ms)
+				   uint64_t idle_max_ms, bool *is_new)
 {
 	struct gw_backend *backend = steer_server_data(server);
 	uint64_t now_ms = gw_now_ms(gw);
@@ -63,16 +81,16 @@
 		return NULL;
 	DL_FOREACH_SAFE(backend->idle, at, next)
 	{
-		if (!http_conn_reusable(at->conn) || now_ms >= at->until_ms) {
+		if (!is_usable(at) || now_ms >= at->until_ms) {
 			close_idle(backend, at);
 			continue;
 		}
-		if (now_ms > http_conn_idle_since_ms(at->conn) + idle_max_ms)
+		if (!http_conn_opening(at->conn) &&
+		    now_ms > http_conn_idle_since_ms(at->conn) + idle_max_ms)
 			return NULL;
 		conn = at->conn;
-		DL_DELETE(backend->idle, at);
-		backend->nr_idle--;
-		free(at);
+		*is_new = at->is_new;
+		remove_idle(backend, at);
 		return conn;
 	}
 	return NULL;
@@ -82,12 +100,14 @@
 				  const struct http_call *call,
 				  uint64_t idle_max_ms, bool *is_new)
 {
-	struct http_conn *conn = take_idle(gw, server, idle_max_ms);
+	struct http_conn *conn = take_idle(gw, server, idle_max_ms, is_new);
 
-	*is_new = !conn;
-	if (!conn && http_conn_create(gw->loop, steer_server_address(server),
-				      CONNECT_TIMEOUT_MS, &conn))
-		return NULL;
+	if (!conn) {
+		*is_new = true;
+		if (http_conn_create(gw->loop, steer_server_address(server),
+				     CONNECT_TIMEOUT_MS, &conn))
+			return NULL;
+	}
 	gw_count(gw, "backend_connections", *is_new ? "new" : "reused");
 	if (!http_conn_call(conn, call))
 		return conn;
@@ -95,28 +115,48 @@
 	return NULL;
 }
 
-void gw_backend_done(struct gw *gw, struct steer_server *server,
-		     struct http_conn *conn, uint32_t idle_max_ms)
+static void keep(struct gw *gw, struct steer_server *server,
+		 struct http_conn *conn, uint64_t keep_ms, bool is_new)
 {
-	uint64_t keep_ms = IDLE_MAX_MS;
-	struct gw_backend *backend;
-	struct idle *at;
+	struct gw_backend *backend = get_backend(gw, server);
+	struct idle *at = backend && backend->nr_idle < IDLE_CONNECTIONS_MAX ?
+				  calloc(1, sizeof(*at)) :
+				  NULL;
 
-	if (idle_max_ms &&
-	    keep_ms > (uint64_t)idle_max_ms * IDLE_SHARE_PERCENT / 100)
-		keep_ms = (uint64_t)idle_max_ms * IDLE_SHARE_PERCENT / 100;
-	backend = http_conn_reusable(conn) ? get_backend(gw, server) : NULL;
-	at = backend && backend->nr_idle < IDLE_CONNECTIONS_MAX ?
-		     calloc(1, sizeof(*at)) :
-		     NULL;
 	if (!at) {
 		http_conn_destroy(conn);
 		return;
 	}
 	at->conn = conn;
+	at->is_new = is_new;
 	at->until_ms = gw_now_ms(gw) + keep_ms;
 	DL_PREPEND(backend->idle, at);
 	backend->nr_idle++;
+	steer_server_set_idle(server, backend->nr_idle);
+}
+
+void gw_backend_prepare(struct gw *gw, struct steer_server *server)
+{
+	struct http_conn *conn;
+
+	/* Without it the call opens one. */
+	if (!http_conn_create(gw->loop, steer_server_address(server),
+			      CONNECT_TIMEOUT_MS, &conn))
+		keep(gw, server, conn, IDLE_MAX_MS, true);
+}
+
+void gw_backend_done(struct gw *gw, struct steer_server *server,
+		     struct http_conn *conn, uint32_t idle_max_ms)
+{
+	uint64_t keep_ms = IDLE_MAX_MS;
+
+	if (idle_max_ms &&
+	    keep_ms > (uint64_t)idle_max_ms * IDLE_SHARE_PERCENT / 100)
+		keep_ms = (uint64_t)idle_max_ms * IDLE_SHARE_PERCENT / 100;
+	if (http_conn_reusable(conn))
+		keep(gw, server, conn, keep_ms, false);
+	else
+		http_conn_destroy(conn);
 }
 
 void gw_backend_drop(void *arg, void *data)
@@ -124,6 +164,7 @@
 	struct gw_backend *backend = data;
 	struct gw *gw = arg;
 
+	backend->server = NULL;
 	while (backend->idle)
 		close_idle(backend, backend->idle);
 	DL_DELETE(gw->backends, backend);
@@ -140,8 +181,7 @@
 	{
 		DL_FOREACH_SAFE(backend->idle, at, next)
 		{
-			if (now_ms >= at->until_ms ||
-			    !http_conn_reusable(at->conn))
+			if (now_ms >= at->until_ms || !is_usable(at))
 				close_idle(backend, at);
 		}
 	}
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "budget.h"
+#include "coord.h"
 #include "counter.h"
 #include "event.h"
 #include "gateway.h"
@@ -61,6 +62,43 @@
 	struct gw_control *prev, *next;
 };
 
+/* An entry instance that may coordinate servers. */
+struct gw_instance {
+	char address[ADDRESS_BYTES_MAX]; /* for datagrams */
+	char region[NAME_BYTES_MAX];
+	uint64_t hash;
+	bool is_self;
+	uint64_t silent_until_ms; /* it did not answer */
+};
+
+/* A request at the coordinator of the server that it is meant for. */
+struct gw_slot {
+	struct gw_request *request;
+	uint64_t token;
+	uint32_t server; /* hash of its id */
+	char coordinator[ADDRESS_BYTES_MAX];
+	bool held; /* the coordinator may count it */
+	bool is_local; /* the coordinator is this instance */
+	bool waits; /* the request waits for the answer */
+	uint64_t until_ms; /* for the answer, 0: it has come or is given up */
+	UT_hash_handle hh;
+};
+
+enum gw_slot_state {
+	GW_SLOT_TOLD, /* steer knows what the coordinator knows */
+	GW_SLOT_WAITS, /* gw_request_told() will be called */
+	GW_SLOT_UNTOLD /* the request goes on without an answer */
+};
+
+struct gw_slots {
+	struct coord *coord; /* of the servers that this instance coordinates */
+	struct gw_instance *instances;
+	size_t nr_instances;
+	uint64_t version; /* of the list that they are from */
+	struct gw_slot *asked; /* at other instances, by token */
+	uint64_t next_token;
+};
+
 struct gw {
 	struct set_settings *settings; /* own copy, see SIGHUP */
 	const char *settings_path;
@@ -81,6 +119,8 @@
 	struct topo *topo;
 	struct steer *steer;
 	struct gossip *gossip;
+	struct gw_slots slots;
+	unsigned short random_state[3];
 	char **evacuated_zones;
 	size_t nr_evacuated_zones;
 	struct gw_customer *customers;
@@ -149,6 +189,26 @@
 		       uint32_t wanted);
 /* Ends the waiting of those that waited too long. */
 void gw_request_tick(struct gw *gw);
+/* The coordinator's answer, NULL: none has come in time. */
+void gw_request_told(struct gw_slot *slot, const struct coord_told *told);
+
+/* ---- gateway_slots.c ---- */
+
+int gw_slots_open(struct gw *gw);
+void gw_slots_close(struct gw *gw);
+/*
+ * Tells the coordinator of the server that a request will be sent there; what
+ * the slot held before ends as not sent. Without waits the request goes on at
+ * once and steer learns of the answer when it comes.
+ */
+enum gw_slot_state gw_slot_ask(struct gw *gw, struct gw_slot *slot,
+			       struct steer_server *server,
+			       const struct steer_query *query, bool waits);
+/* Does nothing if the slot holds nothing. */
+void gw_slot_end(struct gw *gw, struct gw_slot *slot, enum coord_end end);
+void gw_slots_datagram(void *arg, const char *from,
+		       const Aw__Datagram *datagram);
+void gw_slots_tick(struct gw *gw);
 
 /* ---- gateway_backend.c ---- */
 
@@ -162,6 +222,10 @@
 struct http_conn *gw_backend_call(struct gw *gw, struct steer_server *server,
 				  const struct http_call *call,
 				  uint64_t idle_max_ms, bool *is_new);
+/*
+ * Opens a connection for a call that is likely to follow.
+ */
+void gw_backend_prepare(struct gw *gw, struct steer_server *server);
 /*
  * Takes back a connection whose call has ended. idle_max_ms is what the server
  * says of it, 0: nothing.
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -63,6 +63,7 @@
 	/* Of the last sending; the server itself may be forgotten by then. */
 	char server_id[NAME_BYTES_MAX];
 	char server_zone[NAME_BYTES_MAX];
+	struct gw_slot slot; /* of the running sending, or the next */
 	struct http_conn *conn;
 	bool is_new; /* the connection */
 	struct steer_sending sending;
@@ -147,6 +148,7 @@
 	struct gw *gw = request->gw;
 
 	stop_waiting(request);
+	gw_slot_end(gw, &request->slot, COORD_NOT_SENT);
 	if (request->waits_for_link)
 		DL_DELETE2(gw->large, request, large_prev, large_next);
 	DL_DELETE(gw->requests, request);
@@ -291,6 +293,7 @@
 	if (request->conn) {
 		http_conn_destroy(request->conn);
 		end_large(request);
+		gw_slot_end(gw, &request->slot, COORD_UNTOLD);
 		steer_ended(gw->steer, request->choice.server, &request->query,
 			    STEER_CANCELLED, &request->sending,
 			    &(struct steer_load){ .known = false });
@@ -508,6 +511,11 @@
 		query->tried[query->nr_tried++] = request->choice.server;
 	steer_ended(request->gw->steer, request->choice.server, query, outcome,
 		    &request->sending, load ? load : &unknown);
+	gw_slot_end(request->gw, &request->slot,
+		    outcome == STEER_UNREACHED || outcome == STEER_WITHDRAWN ?
+			    COORD_NOT_SENT :
+			    COORD_UNTOLD);
+	query->nr_asked = 0;
 	request->choice.server = NULL;
 	request->conn = NULL;
 }
@@ -611,8 +619,10 @@
 	}
 	log_attempt(request, STEER_SUCCESS, "");
 	end_large(request);
-	steer_ended(gw->steer, request->choice.server, &request->query,
-		    STEER_SUCCESS, &request->sending, &load);
+	gw_slot_end(
+		gw, &request->slot,
+		steer_ended(gw->steer, request->choice.server, &request->query,
+			    STEER_SUCCESS, &request->sending, &load));
 	request->choice.server = NULL;
 	request->conn = NULL;
 	request->nr_run++;
@@ -740,34 +750,114 @@
 	       request->choice.retry_after_ms);
 }
 
-static void attempt(struct gw_request *request)
+/*
+ * Whether the coordinator of the chosen server has to answer first. A far one
+ * answers while a connection is made; over an open connection the request
+ * would be there before the answer is here.
+ */
+static bool has_to_wait(struct gw_request *request)
+{
+	struct steer_server *server = request->choice.server;
+	struct gw *gw = request->gw;
+
+	if (request->query.nr_asked == STEER_ASKED_MAX)
+		return false;
+	if (!strcmp(steer_server_region(server), gw->settings->cluster.region))
+		return true;
+	return !steer_server_idle(server);
+}
+
+/*
+ * Tells the coordinator of the chosen server of the request. Returns whether
+ * the request is to be sent there now.
+ */
+static enum gw_slot_state ask(struct gw_request *request)
+{
+	struct steer_server *server = request->choice.server;
+	bool waits = has_to_wait(request);
+	struct gw *gw = request->gw;
+	enum gw_slot_state state;
+
+	if (request->query.nr_asked < STEER_ASKED_MAX)
+		request->query.asked[request->query.nr_asked++] =
+			steer_server_hash(server);
+	request->query.again = true;
+	snprintf(request->server_id, sizeof(request->server_id), "%s",
+		 steer_server_id(server));
+	state = gw_slot_ask(gw, &request->slot, server, &request->query, waits);
+	if (state == GW_SLOT_WAITS && !steer_server_idle(server) &&
+	    strcmp(steer_server_region(server), gw->settings->cluster.region))
+		gw_backend_prepare(gw, server);
+	return state;
+}
+
+static void tell_steer(struct gw_request *request,
+		       const struct coord_told *told)
+{
+	struct steer *steer = request->gw->steer;
+	struct steer_server *server = steer_find(steer, request->server_id);
+
+	if (server)
+		steer_told(steer, server, &request->query, told);
+}
+
+static bool is_agreed(const struct gw_request *request)
+{
+	return request->slot.held &&
+	       request->slot.server ==
+		       steer_server_hash(request->choice.server);
+}
+
+/*
+ * Returns false when no connection can be made.
+ */
+static bool send_now(struct gw_request *request)
 {
 	struct gw *gw = request->gw;
 	uint64_t now_ms = gw_now_ms(gw);
 
-	while (now_ms < request->limit_ms) {
+	request->sending.sent_ms = now_ms;
+	request->sending.load = request->choice.load;
+	snprintf(request->server_id, sizeof(request->server_id), "%s",
+		 steer_server_id(request->choice.server));
+	snprintf(request->server_zone, sizeof(request->server_zone), "%s",
+		 steer_server_zone(request->choice.server));
+	steer_sent(gw->steer, request->choice.server, &request->query);
+	if (!send_call(request)) {
+		end_sending(request, STEER_UNREACHED, "no_connection", NULL);
+		return false;
+	}
+	if (!request->first_sent_ms) {
+		request->first_sent_ms = now_ms;
+		hist_add(gw->waited, now_ms - request->start_ms);
+	}
+	return true;
+}
+
+static void attempt(struct gw_request *request)
+{
+	struct gw *gw = request->gw;
+
+	while (gw_now_ms(gw) < request->limit_ms) {
 		set_time_left(request);
 		steer_pick(gw->steer, &request->query, &request->choice);
 		if (request->choice.verdict != STEER_SEND) {
 			refuse_verdict(request);
 			return;
 		}
-		request->sending.sent_ms = now_ms;
-		request->sending.load = request->choice.load;
-		snprintf(request->server_id, sizeof(request->server_id), "%s",
-			 steer_server_id(request->choice.server));
-		snprintf(request->server_zone, sizeof(request->server_zone),
-			 "%s", steer_server_zone(request->choice.server));
-		steer_sent(gw->steer, request->choice.server, &request->query);
-		if (send_call(request)) {
-			if (!request->first_sent_ms) {
-				request->first_sent_ms = now_ms;
-				hist_add(gw->waited,
-					 now_ms - request->start_ms);
-			}
-			return;
+		if (!is_agreed(request)) {
+			bool is_first_time =
+				request->query.nr_asked < STEER_ASKED_MAX;
+			enum gw_slot_state state = ask(request);
+
+			if (state == GW_SLOT_WAITS)
+				return;
+			/* The choice is made again with what was told. */
+			if (state == GW_SLOT_TOLD && is_first_time)
+				continue;
 		}
-		end_sending(request, STEER_UNREACHED, "no_connection", NULL);
+		if (send_now(request))
+			return;
 		if (++request->nr_not_run > NOT_RUN_MAX) {
 			refuse(request, REFUSAL_NO_SERVER, RETRY_AFTER_MS);
 			return;
@@ -777,6 +867,28 @@
 	       RETRY_AFTER_MS);
 }
 
+void gw_request_told(struct gw_slot *slot, const struct coord_told *told)
+{
+	struct gw_request *request = slot->request;
+	struct gw *gw = request->gw;
+	struct coord_told others;
+
+	if (!slot->waits) {
+		/* It was sent meanwhile and is one of those at the server. */
+		if (!told || !request->conn)
+			return;
+		others = *told;
+		others.running++;
+		steer_told(gw->steer, request->choice.server, &request->query,
+			   &others);
+		return;
+	}
+	slot->waits = false;
+	if (told)
+		tell_steer(request, told);
+	attempt(request);
+}
+
 /* ---- admission ---- */
 
 static char **copy_names(char *const *names, size_t nr)
@@ -950,6 +1062,8 @@
 	request->start_ms = req->head_ms;
 	request->limit_ms = req->head_ms;
 	request->plan_version = plan_version(gw->plan);
+	request->slot.request = request;
+	request->query.chance = erand48(gw->random_state);
 	gw->adapter->read_request(req, &request->call);
 	DL_APPEND(gw->requests, request);
 	gw->nr_requests++;
--- a/almondward/gossip.c
+++ b/almondward/gossip.c
@@ -1,21 +1,13 @@
 #include "gossip.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "log.h"
-
-/* A request takes some hundred milliseconds; news must be much younger. */
-#define INTERVAL_MS 40
+/* The need of a region is followed within two seconds. */
+#define INTERVAL_MS 500
 /* With many instances each tells the others less often, which bounds the
  * datagrams a second of one instance to 1000 / INTERVAL_PER_PEER_MS. */
-#define INTERVAL_PER_PEER_MS 10
-/* Without a change the same is told again, for receivers that missed it. */
-#define REPEAT_MS 250
-/* Up to so many instances all are told, else only those of the region. */
-#define TELL_ALL_MAX 16
-#define ENTRIES_MAX 128
+#define INTERVAL_PER_PEER_MS 30
 
 struct gossip {
 	struct gossip_settings settings;
@@ -23,53 +15,62 @@
 	struct loop_udp *udp;
 	uint64_t sequence;
 	uint64_t sent_ms;
-	struct steer_count last[ENTRIES_MAX];
-	size_t nr_last;
-	uint64_t last_ms; /* when it was told */
 	struct ctr *sent;
+	struct ctr *sent_bytes;
+	struct ctr *not_sent;
 	struct ctr *received;
 	struct ctr *malformed;
 };
 
-static void on_datagram(void *arg, const uint8_t *data, size_t len_bytes)
+static bool take_needs(const struct gossip *gossip, const Aw__Needs *needs)
 {
-	struct gossip *gossip = arg;
-	Aw__Loads *loads = aw__loads__unpack(NULL, len_bytes, data);
-	struct steer_count counts[ENTRIES_MAX];
-	size_t i, nr;
-
-	if (!loads || loads->n_servers != loads->n_running ||
-	    loads->n_servers > ENTRIES_MAX || !*loads->instance ||
-	    strlen(loads->instance) >= NAME_BYTES_MAX) {
-		ctr_add(gossip->malformed, 1);
-		if (loads)
-			aw__loads__free_unpacked(loads, NULL);
-		return;
-	}
-	nr = loads->n_servers;
-	for (i = 0; i < nr; i++) {
-		counts[i].server = loads->servers[i];
-		counts[i].running = loads->running[i];
+	struct need_entry entries[NEED_UPSTREAMS_MAX];
+
+	if (needs->n_upstreams != needs->n_running ||
+	    needs->n_upstreams > NEED_UPSTREAMS_MAX || !*needs->instance ||
+	    strlen(needs->instance) >= NAME_BYTES_MAX)
+		return false;
+	for (size_t i = 0; i < needs->n_upstreams; i++) {
+		entries[i].upstream = needs->upstreams[i];
+		entries[i].running = needs->running[i];
 	}
-	ctr_add(gossip->received, 1);
-	if (strcmp(loads->instance, gossip->settings.name) != 0)
-		steer_peer_counts(gossip->settings.steer, loads->instance,
-				  loads->incarnation, loads->sequence, counts,
-				  nr);
-	aw__loads__free_unpacked(loads, NULL);
+	if (strcmp(needs->instance, gossip->settings.name) != 0)
+		steer_peer_needs(gossip->settings.steer, needs->instance,
+				 needs->incarnation, needs->sequence, entries,
+				 needs->n_upstreams);
+	return true;
+}
+
+static void on_datagram(void *arg, const char *from, const uint8_t *data,
+			size_t len_bytes)
+{
+	struct gossip *gossip = arg;
+	Aw__Datagram *datagram = aw__datagram__unpack(NULL, len_bytes, data);
+	bool valid = datagram != NULL;
+
+	if (valid && datagram->body_case == AW__DATAGRAM__BODY_NEEDS)
+		valid = take_needs(gossip, datagram->needs);
+	else if (valid)
+		gossip->settings.datagram(gossip->settings.arg, from, datagram);
+	ctr_add(valid ? gossip->received : gossip->malformed, 1);
+	if (datagram)
+		aw__datagram__free_unpacked(datagram, NULL);
 }
 
 struct gossip *gossip_create(const struct gossip_settings *settings)
 {
 	struct gossip *gossip = calloc(1, sizeof(*gossip));
+	struct ctr_set *counters = settings->counters;
 
 	if (!gossip)
 		return NULL;
 	gossip->settings = *settings;
 	gossip->clk = loop_clock(settings->loop);
-	gossip->sent = ctr_get(settings->counters, "gossip_sent", "");
-	gossip->received = ctr_get(settings->counters, "gossip_received", "");
-	gossip->malformed = ctr_get(settings->counters, "gossip_malformed", "");
+	gossip->sent = ctr_get(counters, "datagrams_sent", "");
+	gossip->sent_bytes = ctr_get(counters, "datagram_bytes_sent", "");
+	gossip->not_sent = ctr_get(counters, "datagrams_not_sent", "");
+	gossip->received = ctr_get(counters, "datagrams_received", "");
+	gossip->malformed = ctr_get(counters, "datagrams_malformed", "");
 	if (!loop_udp_create(settings->loop, settings->address, on_datagram,
 			     gossip, &gossip->udp))
 		return gossip;
@@ -85,93 +86,84 @@
 	free(gossip);
 }
 
-static bool is_told(const struct gossip *gossip, const Aw__Instance *instance,
-		    bool tell_all, const char *region)
+void gossip_send(struct gossip *gossip, const char *address,
+		 const Aw__Datagram *datagram)
 {
-	if (!strcmp(instance->name, gossip->settings.name))
-		return false;
-	return tell_all ||
-	       !strcmp(set_region(gossip->settings.cluster, instance->zone),
-		       region);
+	uint8_t data[LOOP_DATAGRAM_BYTES_MAX];
+	size_t len_bytes = aw__datagram__get_packed_size(datagram);
+
+	if (len_bytes > sizeof(data) ||
+	    loop_udp_send(gossip->udp, address, data,
+			  aw__datagram__pack(datagram, data))) {
+		ctr_add(gossip->not_sent, 1);
+		return;
+	}
+	ctr_add(gossip->sent, 1);
+	ctr_add(gossip->sent_bytes, len_bytes);
 }
 
-static void send_all(struct gossip *gossip, const uint8_t *data,
-		     size_t len_bytes, const Aw__Instance *const *instances,
-		     size_t nr)
+static bool is_told(const struct gossip *gossip, const Aw__Instance *instance)
 {
 	const struct set_cluster *cluster = gossip->settings.cluster;
-	char address[ADDRESS_BYTES_MAX];
-	size_t i;
 
-	for (i = 0; i < nr; i++) {
-		if (!strchr(instances[i]->address, ':') ||
-		    !is_told(gossip, instances[i], nr <= TELL_ALL_MAX,
-			     cluster->region))
-			continue;
-		set_peer_address(cluster, instances[i]->address, address);
-		/* A datagram that is not sent is made up for by the next. */
-		if (!loop_udp_send(gossip->udp, address, data, len_bytes))
-			ctr_add(gossip->sent, 1);
-	}
+	return strcmp(instance->name, gossip->settings.name) != 0 &&
+	       strchr(instance->address, ':') &&
+	       !strcmp(set_region(cluster, instance->zone), cluster->region);
 }
 
-static void tell(struct gossip *gossip, const struct steer_count *counts,
-		 size_t nr, const Aw__Instance *const *instances,
-		 size_t nr_instances)
+static void send_needs(struct gossip *gossip, const Aw__Datagram *datagram,
+		       const Aw__Instance *const *instances, size_t nr)
 {
-	uint32_t servers[ENTRIES_MAX], running[ENTRIES_MAX];
-	uint8_t data[LOOP_DATAGRAM_BYTES_MAX];
-	Aw__Loads loads = AW__LOADS__INIT;
-	size_t i;
+	char address[ADDRESS_BYTES_MAX];
 
-	for (i = 0; i < nr; i++) {
-		servers[i] = counts[i].server;
-		running[i] = counts[i].running;
+	for (size_t i = 0; i < nr; i++) {
+		if (!is_told(gossip, instances[i]))
+			continue;
+		set_peer_address(gossip->settings.cluster,
+				 instances[i]->address, address);
+		gossip_send(gossip, address, datagram);
 	}
-	loads.instance = (char *)gossip->settings.name;
-	loads.incarnation = gossip->settings.incarnation;
-	loads.sequence = ++gossip->sequence;
-	loads.servers = servers;
-	loads.n_servers = nr;
-	loads.running = running;
-	loads.n_running = nr;
-	if (aw__loads__get_packed_size(&loads) <= sizeof(data))
-		send_all(gossip, data, aw__loads__pack(&loads, data), instances,
-			 nr_instances);
 }
 
-static size_t nr_told(const struct gossip *gossip,
-		      const Aw__Instance *const *instances, size_t nr)
+static void tell_needs(struct gossip *gossip,
+		       const Aw__Instance *const *instances, size_t nr)
 {
-	size_t i, told = 0;
-
-	for (i = 0; i < nr; i++)
-		told += is_told(gossip, instances[i], nr <= TELL_ALL_MAX,
-				gossip->settings.cluster->region);
-	return told;
+	uint32_t upstreams[NEED_UPSTREAMS_MAX], running[NEED_UPSTREAMS_MAX];
+	struct need_entry entries[NEED_UPSTREAMS_MAX];
+	Aw__Datagram datagram = AW__DATAGRAM__INIT;
+	Aw__Needs needs = AW__NEEDS__INIT;
+
+	needs.n_upstreams = steer_needs(gossip->settings.steer, entries,
+					NEED_UPSTREAMS_MAX);
+	for (size_t i = 0; i < needs.n_upstreams; i++) {
+		upstreams[i] = entries[i].upstream;
+		running[i] = entries[i].running;
+	}
+	needs.instance = (char *)gossip->settings.name;
+	needs.incarnation = gossip->settings.incarnation;
+	needs.sequence = ++gossip->sequence;
+	needs.upstreams = upstreams;
+	needs.running = running;
+	needs.n_running = needs.n_upstreams;
+	datagram.body_case = AW__DATAGRAM__BODY_NEEDS;
+	datagram.needs = &needs;
+	send_needs(gossip, &datagram, instances, nr);
 }
 
 void gossip_tick(struct gossip *gossip)
 {
-	struct steer_count counts[ENTRIES_MAX];
 	const Aw__Instance *const *instances;
-	uint64_t now_ms = clk_now_ms(gossip->clk), interval_ms;
-	size_t nr_instances, nr;
+	uint64_t now_ms = clk_now_ms(gossip->clk), interval_ms = 0;
+	size_t nr;
 
-	instances = topo_instances(gossip->settings.topo, &nr_instances);
-	interval_ms =
-		nr_told(gossip, instances, nr_instances) * INTERVAL_PER_PEER_MS;
+	instances = topo_instances(gossip->settings.topo, &nr);
+	for (size_t i = 0; i < nr; i++)
+		if (is_told(gossip, instances[i]))
+			interval_ms += INTERVAL_PER_PEER_MS;
 	if (interval_ms < INTERVAL_MS)
 		interval_ms = INTERVAL_MS;
 	if (now_ms < gossip->sent_ms + interval_ms)
 		return;
-	nr = steer_counts(gossip->settings.steer, counts, ENTRIES_MAX);
-	if (nr == gossip->nr_last && now_ms < gossip->last_ms + REPEAT_MS &&
-	    !memcmp(counts, gossip->last, nr * sizeof(*counts)))
-		return;
 	gossip->sent_ms = now_ms;
-	gossip->last_ms = now_ms;
-	gossip->nr_last = nr;
-	memcpy(gossip->last, counts, nr * sizeof(*counts));
-	tell(gossip, counts, nr, instances, nr_instances);
+	tell_needs(gossip, instances, nr);
 }
--- a/almondward/gossip.h
+++ b/almondward/gossip.h
@@ -1,8 +1,9 @@
 /*
- * gossip: entry instances tell each other what they have sent to which server.
+ * gossip: datagrams between entry instances.
  *
- * Datagrams: what is lost or late is made up for by the next. The counts are
- * those of the sender alone, so they are added up by the receiver.
+ * Instances of a region tell each other what they have under way. All others
+ * go to one instance and are for the owner. What is lost or late is made up for
+ * by the next, or by going without.
  */
 #ifndef GOSSIP_H
 #define GOSSIP_H
@@ -10,6 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "almondward.pb-c.h"
 #include "counter.h"
 #include "loop.h"
 #include "settings.h"
@@ -31,6 +33,10 @@
 	struct steer *steer;
 	const struct topo *topo;
 	struct ctr_set *counters;
+	/* Called with datagrams for the owner; from is the sender's "IP:port". */
+	void (*datagram)(void *arg, const char *from,
+			 const Aw__Datagram *datagram);
+	void *arg;
 };
 
 /*
@@ -39,6 +45,12 @@
 struct gossip *gossip_create(const struct gossip_settings *settings);
 void gossip_destroy(struct gossip *gossip);
 
+/*
+ * Sends a datagram to one instance. What cannot be sent is counted.
+ */
+void gossip_send(struct gossip *gossip, const char *address,
+		 const Aw__Datagram *datagram);
+
 /*
  * Sends what is due. To be called about every 20 ms.
  */
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -231,6 +231,11 @@
  */
 bool http_conn_reusable(const struct http_conn *conn);
 
+/*
+ * True while the connection is being established and has no request yet.
+ */
+bool http_conn_opening(const struct http_conn *conn);
+
 /*
  * True if a request waits for its response and a byte of that has arrived;
  * 1xx responses do not count once they are complete.
--- a/almondward/http_client.c
+++ b/almondward/http_client.c
@@ -422,6 +422,11 @@
 	return conn->state == CLIENT_IDLE && !conn->busy;
 }
 
+bool http_conn_opening(const struct http_conn *conn)
+{
+	return conn->state == CLIENT_CONNECTING && !conn->busy;
+}
+
 bool http_conn_responding(const struct http_conn *conn)
 {
 	return conn->busy && conn->any_byte;
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -126,8 +126,9 @@
 
 struct loop_udp;
 
-typedef void (*loop_datagram_fn)(void *arg, const uint8_t *data,
-				 size_t len_bytes);
+/* from is the sender's "IP:port". */
+typedef void (*loop_datagram_fn)(void *arg, const char *from,
+				 const uint8_t *data, size_t len_bytes);
 
 /*
  * Calls fn with each datagram that comes to "IP:port".
--- a/almondward/loop_udp.c
+++ b/almondward/loop_udp.c
@@ -23,16 +23,22 @@
 {
 	struct loop_udp *udp = io->data;
 	uint8_t data[LOOP_DATAGRAM_BYTES_MAX];
+	char from[ADDRESS_BYTES_MAX];
+	union loop_sockaddr sa;
+	socklen_t sa_len;
 	ssize_t len;
 	int i;
 
 	(void)ev;
 	(void)revents;
 	for (i = 0; i < RECEIVES_PER_TURN; i++) {
-		len = recv(udp->fd, data, sizeof(data), MSG_DONTWAIT);
+		sa_len = sizeof(sa);
+		len = recvfrom(udp->fd, data, sizeof(data), MSG_DONTWAIT,
+			       &sa.any, &sa_len);
 		if (len < 0)
 			return;
-		udp->fn(udp->arg, data, (size_t)len);
+		loop_format_address(&sa, from, sizeof(from));
+		udp->fn(udp->arg, from, data, (size_t)len);
 	}
 }
 
--- a/almondward/shift.c
+++ b/almondward/shift.c
@@ -43,16 +43,13 @@
 	shift->allowed += gap;
 }
 
-bool shift_decide(struct shift *shift, bool leaves, double chance,
-		  uint64_t now_ms)
+bool shift_judge(const struct shift *shift, bool leaves, double chance)
 {
 	double most = shift->allowed + shift->max * BAND_PART;
 	double least = shift->allowed - shift->max * BACK_BAND_PART;
 
 	if (shift->max <= 0)
 		return leaves;
-	note(shift, leaves);
-	move(shift, now_ms);
 	if (leaves)
 		return shift->wanted <= most || chance < most / shift->wanted;
 	return shift->wanted_lately < least &&
@@ -60,9 +57,18 @@
 				(1 - shift->wanted_lately);
 }
 
-void shift_follow(struct shift *shift, bool leaves, uint64_t now_ms)
+bool shift_decide(struct shift *shift, bool leaves, double chance,
+		  uint64_t now_ms)
+{
+	note(shift, leaves);
+	move(shift, now_ms);
+	return shift_judge(shift, leaves, chance);
+}
+
+bool shift_follow(struct shift *shift, bool leaves, uint64_t now_ms)
 {
 	note(shift, leaves);
 	shift->allowed = shift->wanted;
 	shift->moved_ms = now_ms;
+	return leaves;
 }
--- a/almondward/shift.h
+++ b/almondward/shift.h
@@ -43,9 +43,14 @@
 		  uint64_t now_ms);
 
 /*
- * Notes a request while the limit does not bind.
+ * The same for a request that was decided about before.
  */
-void shift_follow(struct shift *shift, bool leaves, uint64_t now_ms);
+bool shift_judge(const struct shift *shift, bool leaves, double chance);
+
+/*
+ * Notes a request while the limit does not bind. Returns leaves.
+ */
+bool shift_follow(struct shift *shift, bool leaves, uint64_t now_ms);
 
 #ifdef __cplusplus
 }
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -1,5 +1,6 @@
 #include "steer.h"
 
+#include "need.h"
 #include "notice.h"
 #include "shift.h"
 
@@ -81,6 +82,15 @@
 /* Objects with bodies from this size on have their servers in the zone. */
 #define LARGE_BODY_BYTES 16384
 
+/* Servers that an object is sent to, of the region of the instance and of all
+ * others: the second bears what the first cannot, the third a lost one. */
+#define NEAR_SERVERS 3
+#define FAR_SERVERS 3
+/* A server with more failures is not counted among them. */
+#define WORKS_FAILURES_MAX 0.5
+/* What a coordinator told is as good as new for this time. */
+#define TOLD_MS 300
+
 #define MEMORY_MS 30000 /* a server that handled an object stays warm */
 #define MEMORY_MAX 50000 /* objects */
 #define MEMORY_SERVERS 3 /* of an object */
@@ -90,6 +100,7 @@
 
 struct upstream {
 	char name[NAME_BYTES_MAX];
+	uint32_t hash;
 	struct steer_server **servers;
 	size_t nr_servers;
 	double warm_ms;
@@ -118,7 +129,11 @@
 	bool evacuated;
 	bool gone; /* another server has its address */
 	bool used; /* a request was sent to it from here */
+	size_t nr_idle; /* connections to it that can be used at once */
 	struct notice notice;
+	uint64_t told_ms; /* when its coordinator last told of it */
+	uint64_t told_object;
+	bool told_knows;
 	uint64_t cold_until_ms;
 	bool cold_allowed; /* this instance may use it while it is cold */
 	double cold_tokens;
@@ -127,7 +142,6 @@
 	uint32_t inflight; /* sent from here */
 	uint64_t oldest_ms; /* when the first of them was sent */
 	double others; /* requests of other instances, by its own word */
-	uint32_t peers_running; /* the same, by the word of the instances */
 	uint64_t load_ms; /* when the server last said its load */
 	double service_ms; /* a request occupies a slot for; 0: not known */
 	double factor; /* its work compared with the mean of the upstream */
@@ -136,8 +150,6 @@
 	uint64_t unreached_until_ms;
 	void *data;
 	UT_hash_handle hh;
-	uint32_t hash32;
-	UT_hash_handle hh32; /* by hash32 */
 	struct steer_server *prev, *next; /* unlisted ones with requests */
 };
 
@@ -154,18 +166,6 @@
 	UT_hash_handle hh; /* oldest first */
 };
 
-/* What another instance has under way. */
-struct peer {
-	char name[NAME_BYTES_MAX];
-	uint64_t incarnation;
-	uint64_t sequence;
-	uint64_t heard_ms;
-	bool near; /* in the region of this instance */
-	struct steer_count *counts;
-	size_t nr_counts;
-	UT_hash_handle hh;
-};
-
 struct way {
 	char region[NAME_BYTES_MAX];
 	double ms;
@@ -181,8 +181,7 @@
 	struct upstream *upstreams;
 	struct steer_server *servers; /* by id */
 	struct steer_server *unlisted;
-	struct steer_server *by_hash;
-	struct peer *peers;
+	struct need *need; /* of the other instances of the region */
 	const struct topo *topo;
 	size_t nr_instances; /* in the table, with this one */
 	size_t nr_regions;
@@ -286,7 +285,10 @@
 	if (!steer)
 		return NULL;
 	steer->notices = notice_store_create();
-	if (!steer->notices) {
+	steer->need = need_create(clk);
+	if (!steer->notices || !steer->need) {
+		notice_store_destroy(steer->notices);
+		need_destroy(steer->need);
 		free(steer);
 		return NULL;
 	}
@@ -327,13 +329,6 @@
 	free(at);
 }
 
-static void free_peer(struct steer *steer, struct peer *at)
-{
-	HASH_DEL(steer->peers, at);
-	free(at->counts);
-	free(at);
-}
-
 void steer_destroy(struct steer *steer)
 {
 	struct steer_server *server, *next;
@@ -343,9 +338,6 @@
 		return;
 	while ((server = steer->servers)) {
 		HASH_DEL(steer->servers, server);
-		/* The analyzer takes the list of the table for empty. */
-		// NOLINTNEXTLINE(clang-analyzer-core.NullDereference)
-		HASH_DELETE(hh32, steer->by_hash, server);
 		free_server(steer, server);
 	}
 	DL_FOREACH_SAFE(steer->unlisted, server, next)
@@ -359,8 +351,7 @@
 	}
 	while (steer->memory)
 		free_memory(steer, steer->memory);
-	while (steer->peers)
-		free_peer(steer, steer->peers);
+	need_destroy(steer->need);
 	notice_store_destroy(steer->notices);
 	free(steer);
 }
@@ -378,6 +369,7 @@
 	if (!at)
 		return NULL;
 	snprintf(at->name, sizeof(at->name), "%s", name);
+	at->hash = (uint32_t)hash_text(name);
 	at->near_part = -1;
 	at->warm_ms = WARM_MS;
 	at->cold_ms = COLD_MS;
@@ -480,8 +472,6 @@
 	notice_store_take(steer->notices, from->id, from->incarnation,
 			  &server->notice);
 	HASH_ADD_STR(steer->servers, id, server);
-	server->hash32 = (uint32_t)server->hash;
-	HASH_ADD(hh32, steer->by_hash, hash32, sizeof(server->hash32), server);
 	return server;
 }
 
@@ -497,10 +487,8 @@
 static void unlist(struct steer *steer, struct steer_server *server)
 {
 	/* The analyzer takes the list of the table for empty. */
-	// NOLINTBEGIN(clang-analyzer-core.NullDereference)
+	// NOLINTNEXTLINE(clang-analyzer-core.NullDereference)
 	HASH_DEL(steer->servers, server);
-	HASH_DELETE(hh32, steer->by_hash, server);
-	// NOLINTEND(clang-analyzer-core.NullDereference)
 	server->listed = false;
 	keep_notice(steer, server);
 	if (server->inflight)
@@ -549,129 +537,42 @@
 
 /* ---- other instances ---- */
 
-static void add_counts(struct steer *steer, const struct peer *peer, bool add)
-{
-	struct steer_server *server;
-
-	for (size_t i = 0; i < peer->nr_counts; i++) {
-		const struct steer_count *count = &peer->counts[i];
-
-		HASH_FIND(hh32, steer->by_hash, &count->server,
-			  sizeof(count->server), server);
-		if (!server)
-			continue;
-		if (add)
-			server->peers_running += count->running;
-		else
-			server->peers_running -=
-				count->running < server->peers_running ?
-					count->running :
-					server->peers_running;
-	}
-}
-
-static bool is_near_instance(const struct steer *steer, const char *name)
-{
-	const Aw__Instance *const *instances;
-	size_t nr;
-
-	if (!steer->topo)
-		return false;
-	instances = topo_instances(steer->topo, &nr);
-	for (size_t i = 0; i < nr; i++)
-		if (!strcmp(instances[i]->name, name))
-			return !strcmp(
-				set_region(steer->cluster, instances[i]->zone),
-				steer->region);
-	return false;
-}
-
-/*
- * Counts may name servers that were not known when they came.
- */
-static void count_peers(struct steer *steer)
+static void count_need(struct steer *steer)
 {
+	struct upstream *upstream, *next_upstream;
 	struct steer_server *server, *next;
-	struct peer *peer, *next_peer;
 
-	HASH_ITER(hh, steer->servers, server, next)
+	HASH_ITER(hh, steer->upstreams, upstream, next_upstream)
 	{
-		server->peers_running = 0;
+		upstream->need_now = 0;
 	}
-	HASH_ITER(hh, steer->peers, peer, next_peer)
+	HASH_ITER(hh, steer->servers, server, next)
 	{
-		peer->near = is_near_instance(steer, peer->name);
-		add_counts(steer, peer, true);
+		server->upstream->need_now += server->inflight;
 	}
 }
 
-static struct peer *get_peer(struct steer *steer, const char *name)
-{
-	struct peer *at;
-
-	HASH_FIND_STR(steer->peers, name, at);
-	if (at)
-		return at;
-	at = calloc(1, sizeof(*at));
-	if (!at)
-		return NULL;
-	snprintf(at->name, sizeof(at->name), "%s", name);
-	at->near = is_near_instance(steer, name);
-	HASH_ADD_STR(steer->peers, name, at);
-	return at;
-}
-
-void steer_peer_counts(struct steer *steer, const char *instance,
-		       uint64_t incarnation, uint64_t sequence,
-		       const struct steer_count *counts, size_t nr)
-{
-	struct peer *at = get_peer(steer, instance);
-	struct steer_count *copy;
-
-	read_clock(steer);
-	if (!at || (at->incarnation == incarnation && sequence <= at->sequence))
-		return;
-	copy = malloc((nr + 1) * sizeof(*copy));
-	if (!copy)
-		return;
-	memcpy(copy, counts, nr * sizeof(*copy));
-	add_counts(steer, at, false);
-	free(at->counts);
-	at->counts = copy;
-	at->nr_counts = nr;
-	at->incarnation = incarnation;
-	at->sequence = sequence;
-	at->heard_ms = now_ms(steer);
-	add_counts(steer, at, true);
-}
-
-size_t steer_counts(const struct steer *steer, struct steer_count *counts,
-		    size_t max)
+size_t steer_needs(struct steer *steer, struct need_entry *needs, size_t max)
 {
-	struct steer_server *server, *next;
+	struct upstream *upstream, *next;
 	size_t nr = 0;
 
-	HASH_ITER(hh, steer->servers, server, next)
+	count_need(steer);
+	HASH_ITER(hh, steer->upstreams, upstream, next)
 	{
-		if (!server->inflight || nr == max)
+		if (!upstream->need_now || nr == max)
 			continue;
-		counts[nr].server = server->hash32;
-		counts[nr++].running = server->inflight;
+		needs[nr].upstream = upstream->hash;
+		needs[nr++].running = upstream->need_now;
 	}
 	return nr;
 }
 
-static void forget_peers(struct steer *steer)
+void steer_peer_needs(struct steer *steer, const char *instance,
+		      uint64_t incarnation, uint64_t sequence,
+		      const struct need_entry *needs, size_t nr)
 {
-	struct peer *at, *next;
-
-	HASH_ITER(hh, steer->peers, at, next)
-	{
-		if (now_ms(steer) < at->heard_ms + PEER_MS)
-			continue;
-		add_counts(steer, at, false);
-		free_peer(steer, at);
-	}
+	need_hear(steer->need, instance, incarnation, sequence, needs, nr);
 }
 
 static void count_slots(struct steer *steer)
@@ -693,19 +594,6 @@
 
 /* ---- objects of the region ---- */
 
-static void count_need(struct steer *steer, const struct steer_count *counts,
-		       size_t nr)
-{
-	struct steer_server *server;
-
-	for (size_t i = 0; i < nr; i++) {
-		HASH_FIND(hh32, steer->by_hash, &counts[i].server,
-			  sizeof(counts[i].server), server);
-		if (server)
-			server->upstream->need_now += counts[i].running;
-	}
-}
-
 /*
  * Before the need has been seen, each region is taken to need as much.
  */
@@ -763,24 +651,11 @@
 {
 	uint64_t at_ms = now_ms(steer);
 	struct upstream *upstream, *next_upstream;
-	struct steer_server *server, *next;
-	struct peer *peer, *next_peer;
 
+	count_need(steer);
 	HASH_ITER(hh, steer->upstreams, upstream, next_upstream)
 	{
-		upstream->need_now = 0;
-	}
-	HASH_ITER(hh, steer->servers, server, next)
-	{
-		server->upstream->need_now += server->inflight;
-	}
-	HASH_ITER(hh, steer->peers, peer, next_peer)
-	{
-		if (peer->near)
-			count_need(steer, peer->counts, peer->nr_counts);
-	}
-	HASH_ITER(hh, steer->upstreams, upstream, next_upstream)
-	{
+		upstream->need_now += need_total(steer->need, upstream->hash);
 		if (upstream->nr_servers)
 			follow_need(steer, upstream,
 				    (double)(at_ms - steer->measured_ms));
@@ -817,7 +692,6 @@
 		if (!server->listed)
 			unlist(steer, server);
 	}
-	count_peers(steer);
 	count_slots(steer);
 	return sync.failed ? -1 : 0;
 }
@@ -927,15 +801,8 @@
 		      const struct steer_server *server)
 {
 	double age_ms = (double)(now_ms(steer) - server->load_ms);
-	double others;
 
-	/* What all instances say is newer than what the server said last. */
-	if (HASH_COUNT(steer->peers) + 1 >= steer->nr_instances)
-		return server->inflight + server->peers_running;
-	others = server->others * exp(-age_ms / OTHERS_MS);
-	return server->inflight + (others > server->peers_running ?
-					   others :
-					   server->peers_running);
+	return server->inflight + server->others * exp(-age_ms / OTHERS_MS);
 }
 
 /*
@@ -1008,11 +875,26 @@
 	return false;
 }
 
+/*
+ * Once coordinators have been asked about several servers the choice is among
+ * those.
+ */
+static bool is_open(const struct steer_query *query,
+		    const struct steer_server *server)
+{
+	if (query->nr_asked < STEER_ASKED_MAX)
+		return true;
+	for (size_t i = 0; i < query->nr_asked; i++)
+		if (query->asked[i] == (uint32_t)server->hash)
+			return true;
+	return false;
+}
+
 static bool is_usable(const struct steer_query *query,
 		      const struct steer_server *server)
 {
 	return !server->gone && !server->evacuated &&
-	       !was_tried(query, server) &&
+	       !was_tried(query, server) && is_open(query, server) &&
 	       in_regions(query->regions, query->nr_regions, server->region) &&
 	       in_regions(query->more_regions, query->nr_more_regions,
 			  server->region);
@@ -1042,27 +924,47 @@
 }
 
 /*
- * Likelihood that the server has handled the object, by the places of its
- * score: all instances send an object to the same first servers.
+ * The servers of an object, by rendezvous hash: the first of the near and of
+ * the far ones that work. All instances see the same order. A request goes to
+ * no others: a server that does not know an object needs three times the work,
+ * and it forgets another one for it.
  */
 struct ranks {
-	uint64_t near_first;
-	uint64_t near_second;
-	uint64_t far_first;
+	uint64_t near[NEAR_SERVERS]; /* scores, the highest first */
+	uint64_t far[FAR_SERVERS];
 	uint64_t first; /* of the two the one that the object belongs to */
+	double used; /* part of the slots of all servers that is busy */
 };
 
+static void note_score(uint64_t *scores, size_t nr, uint64_t score)
+{
+	size_t at = nr;
+
+	while (at && score > scores[at - 1])
+		at--;
+	if (at == nr)
+		return;
+	memmove(scores + at + 1, scores + at, (nr - at - 1) * sizeof(*scores));
+	scores[at] = score;
+}
+
 static void note_rank(struct ranks *ranks, const struct candidate *at)
 {
-	if (!at->near) {
-		if (at->score > ranks->far_first)
-			ranks->far_first = at->score;
-	} else if (at->score > ranks->near_first) {
-		ranks->near_second = ranks->near_first;
-		ranks->near_first = at->score;
-	} else if (at->score > ranks->near_second) {
-		ranks->near_second = at->score;
-	}
+	if (at->near)
+		note_score(ranks->near, NEAR_SERVERS, at->score);
+	else
+		note_score(ranks->far, FAR_SERVERS, at->score);
+}
+
+static bool is_ranked(const struct ranks *ranks, const struct candidate *at)
+{
+	const uint64_t *scores = at->near ? ranks->near : ranks->far;
+	size_t nr = at->near ? NEAR_SERVERS : FAR_SERVERS;
+
+	for (size_t i = 0; i < nr; i++)
+		if (scores[i] == at->score)
+			return true;
+	return false;
 }
 
 static enum steer_place place_of(const struct ranks *ranks,
@@ -1072,13 +974,20 @@
 		return STEER_PLACE_KNOWN;
 	if (at->score == ranks->first)
 		return STEER_PLACE_FIRST;
-	if (at->near && at->score == ranks->near_second)
+	if (at->near && at->score == ranks->near[1])
 		return STEER_PLACE_SECOND;
-	if (at->score == ranks->near_first || at->score == ranks->far_first)
+	if (at->score == ranks->near[0] || at->score == ranks->far[0])
 		return STEER_PLACE_NEXT;
 	return STEER_PLACE_OTHER;
 }
 
+static bool is_told(const struct steer *steer, const struct steer_query *query,
+		    const struct steer_server *server)
+{
+	return server->told_object == query->object && server->told_ms &&
+	       now_ms(steer) < server->told_ms + TOLD_MS;
+}
+
 static void estimate(struct steer *steer, const struct steer_query *query,
 		     const struct ranks *ranks, struct candidate *at)
 {
@@ -1089,6 +998,8 @@
 	if (query->has_object) {
 		at->place = place_of(ranks, at);
 		known = likely[at->place];
+		if (is_told(steer, query, server))
+			known = server->told_knows ? 1 : 0;
 	}
 	forgive(steer, server);
 	at->work_ms =
@@ -1101,6 +1012,9 @@
 	at->wait_ms =
 		over > 0 ? over / server->slots * service_ms(steer, server) : 0;
 	at->way_ms = way_ms(steer, server);
+	/* A new connection takes another round trip. */
+	if (!server->nr_idle)
+		at->way_ms *= 2;
 	at->cost_ms = at->way_ms + at->wait_ms + at->work_ms +
 		      server->failures * FAILURE_MS;
 	/*
@@ -1182,32 +1096,56 @@
  * Instances of a region see about the same need, so they agree for all but a
  * few objects, and a change of the need moves few of them.
  */
-static bool is_near_object(struct steer *steer, const struct upstream *upstream,
+static bool is_near_object(const struct upstream *upstream,
 			   const struct steer_query *query)
 {
 	uint64_t hash = mix(query->object + UINT64_C(0x9e3779b97f4a7c15));
 	double place = query->has_object ? (double)(hash >> 11) * 0x1p-53 :
-					   erand48(steer->random_state);
+					   query->chance;
 
 	return upstream->near_part < 0 || place < upstream->near_part;
 }
 
-static void find_moved(struct steer *steer, const struct ranks *ranks,
-		       struct candidate *candidates, size_t nr)
+static void find_moved(const struct ranks *ranks, struct candidate *candidates,
+		       size_t nr)
 {
 	const char *region = "";
 
 	for (size_t i = 0; i < nr; i++)
 		if (candidates[i].score == ranks->first)
 			region = candidates[i].server->region;
-	for (size_t i = 0; i < nr; i++) {
-		const struct steer_server *server = candidates[i].server;
+	for (size_t i = 0; i < nr; i++)
+		candidates[i].moved =
+			strcmp(candidates[i].server->region, region) != 0;
+}
 
-		candidates[i].moved = strcmp(server->region, region) != 0;
-		candidates[i].works =
-			!server->silent &&
-			now_ms(steer) >= server->unreached_until_ms;
-	}
+static bool works(const struct steer *steer, const struct steer_server *server)
+{
+	return !server->silent && now_ms(steer) >= server->unreached_until_ms &&
+	       server->failures < WORKS_FAILURES_MAX;
+}
+
+/*
+ * Leaves the servers of the object. Those that do not work count only if there
+ * are no others.
+ */
+static size_t keep_ranked(struct ranks *ranks, const struct steer_query *query,
+			  struct candidate *candidates, size_t nr)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < nr; i++)
+		if (candidates[i].works)
+			note_rank(ranks, &candidates[i]);
+	if (!ranks->near[0] && !ranks->far[0])
+		for (size_t i = 0; i < nr; i++)
+			note_rank(ranks, &candidates[i]);
+	if (!query->has_object)
+		return nr;
+	for (size_t i = 0; i < nr; i++)
+		if (candidates[i].warm || is_ranked(ranks, &candidates[i]))
+			candidates[kept++] = candidates[i];
+	return kept;
 }
 
 /* Why servers that could serve the request get none now. */
@@ -1239,6 +1177,21 @@
 	return true;
 }
 
+static double used_share(const struct steer *steer,
+			 const struct candidate *candidates, size_t nr)
+{
+	double load = 0, slots = 0;
+
+	for (size_t i = 0; i < nr; i++) {
+		const struct steer_server *server = candidates[i].server;
+		double busy = load_of(steer, server);
+
+		slots += server->slots;
+		load += busy < server->slots ? busy : server->slots;
+	}
+	return slots > 0 ? load / slots : 1;
+}
+
 static size_t collect(struct steer *steer, const struct steer_query *query,
 		      const struct upstream *upstream,
 		      struct candidate *candidates, struct ranks *ranks,
@@ -1263,46 +1216,28 @@
 		at->score = mix(query->object ^ server->hash);
 		at->near = is_near(steer, query, server);
 		at->warm = remembers(memory, server, at_ms);
-		note_rank(ranks, at);
+		at->works = works(steer, server);
 		nr++;
 	}
-	ranks->first = is_near_object(steer, upstream, query) ?
-			       ranks->near_first :
-			       ranks->far_first;
+	ranks->used = used_share(steer, candidates, nr);
+	nr = keep_ranked(ranks, query, candidates, nr);
+	ranks->first = is_near_object(upstream, query) ? ranks->near[0] :
+							 ranks->far[0];
 	if (!ranks->first)
-		ranks->first = ranks->near_first + ranks->far_first;
-	find_moved(steer, ranks, candidates, nr);
+		ranks->first = ranks->near[0] + ranks->far[0];
+	find_moved(ranks, candidates, nr);
 	return nr;
 }
 
-/*
- * Part of the slots that are busy.
- */
-static double used_share(const struct candidate *candidates, size_t nr)
-{
-	double load = 0, slots = 0;
-
-	for (size_t i = 0; i < nr; i++) {
-		double busy = candidates[i].load;
-
-		slots += candidates[i].server->slots;
-		load += busy < candidates[i].server->slots ?
-				busy :
-				candidates[i].server->slots;
-	}
-	return slots > 0 ? load / slots : 1;
-}
-
 struct best {
 	struct candidate *stays; /* in the region of the object */
 	struct candidate *moves;
 	bool stays_works; /* a server of that region works */
 };
 
-static struct best find_best(const struct steer_query *query,
+static struct best find_best(const struct steer_query *query, double used,
 			     struct candidate *candidates, size_t nr)
 {
-	double used = used_share(candidates, nr);
 	struct best best = { 0 };
 
 	for (size_t i = 0; i < nr; i++) {
@@ -1324,11 +1259,11 @@
  * should not move to yet only if their own has no server that works.
  */
 static struct candidate *choose(struct steer *steer,
-				const struct steer_query *query,
+				const struct steer_query *query, double used,
 				struct candidate *candidates, size_t nr,
 				bool *is_shift)
 {
-	struct best best = find_best(query, candidates, nr);
+	struct best best = find_best(query, used, candidates, nr);
 	uint64_t at_ms = now_ms(steer);
 	bool wants, moves;
 
@@ -1343,10 +1278,14 @@
 		steer->first_ms = at_ms;
 	if (at_ms < steer->disturbed_until_ms ||
 	    at_ms < steer->first_ms + SHIFT_WINDOW_MS)
-		shift_follow(&steer->shift, wants, at_ms);
+		wants = query->again ?
+				wants :
+				shift_follow(&steer->shift, wants, at_ms);
+	else if (query->again)
+		wants = shift_judge(&steer->shift, wants, query->chance);
 	else
-		wants = shift_decide(&steer->shift, wants,
-				     erand48(steer->random_state), at_ms);
+		wants = shift_decide(&steer->shift, wants, query->chance,
+				     at_ms);
 	moves = wants && best.moves;
 	*is_shift = !moves && !best.stays;
 	return moves ? best.moves : best.stays;
@@ -1380,7 +1319,7 @@
 		if (!least || at->cost_ms < least->cost_ms)
 			least = at;
 	}
-	best = choose(steer, query, candidates, nr, &is_shift);
+	best = choose(steer, query, ranks.used, candidates, nr, &is_shift);
 	if (best) {
 		fill_choice(steer, best, choice);
 		choice->verdict = STEER_SEND;
@@ -1419,9 +1358,11 @@
 /*
  * Only requests that did not wait tell how long the work takes.
  */
-static void learn_work(struct steer *steer, struct steer_server *server,
-		       const struct steer_query *query, double latency_ms,
-		       const struct steer_load *load)
+static enum coord_end learn_work(struct steer *steer,
+				 struct steer_server *server,
+				 const struct steer_query *query,
+				 double latency_ms,
+				 const struct steer_load *load)
 {
 	struct upstream *upstream = server->upstream;
 	double work_ms = latency_ms - way_ms(steer, server);
@@ -1430,7 +1371,7 @@
 	bool knew;
 
 	if (work_ms < 1 || (load->known && load->waiting))
-		return;
+		return COORD_UNTOLD;
 	/* The time itself tells best whether the object was known. */
 	knew = query->has_object && work_ms < middle;
 	mean = knew ? &upstream->warm_ms : &upstream->cold_ms;
@@ -1439,6 +1380,9 @@
 	server->factor += (factor - server->factor) * FACTOR_WEIGHT;
 	if (upstream->cold_ms < upstream->warm_ms * 1.2)
 		upstream->cold_ms = upstream->warm_ms * 1.2;
+	if (!query->has_object)
+		return COORD_UNTOLD;
+	return knew ? COORD_KNEW : COORD_DID_NOT_KNOW;
 }
 
 /*
@@ -1473,11 +1417,13 @@
 		server->slots = load->slots;
 }
 
-void steer_ended(struct steer *steer, struct steer_server *server,
-		 const struct steer_query *query, enum steer_outcome outcome,
-		 const struct steer_sending *sending,
-		 const struct steer_load *load)
+enum coord_end steer_ended(struct steer *steer, struct steer_server *server,
+			   const struct steer_query *query,
+			   enum steer_outcome outcome,
+			   const struct steer_sending *sending,
+			   const struct steer_load *load)
 {
+	enum coord_end end = COORD_UNTOLD;
 	uint64_t at_ms = read_clock(steer);
 	bool failed = false;
 
@@ -1490,8 +1436,8 @@
 		take_load(steer, server, load);
 	switch (outcome) {
 	case STEER_SUCCESS:
-		learn_work(steer, server, query,
-			   (double)(at_ms - sending->sent_ms), load);
+		end = learn_work(steer, server, query,
+				 (double)(at_ms - sending->sent_ms), load);
 		learn_service(steer, server, sending);
 		break;
 	case STEER_SHED:
@@ -1520,9 +1466,39 @@
 		server->failures +=
 			((failed ? 1 : 0) - server->failures) * FAILURE_WEIGHT;
 	if (server->listed || server->inflight)
-		return;
+		return end;
 	DL_DELETE(steer->unlisted, server);
 	free_server(steer, server);
+	return end;
+}
+
+/* ---- what the coordinator of a server tells ---- */
+
+static void forget_object(const struct steer *steer, uint64_t object,
+			  const struct steer_server *server)
+{
+	struct memory *at = find_memory(steer, object);
+
+	for (size_t i = 0; at && i < MEMORY_SERVERS; i++)
+		if (at->places[i].server == server->hash)
+			at->places[i] = (struct memory_place){ 0 };
+}
+
+void steer_told(struct steer *steer, struct steer_server *server,
+		const struct steer_query *query, const struct coord_told *told)
+{
+	server->load_ms = server->told_ms = read_clock(steer);
+	server->told_object = query->object;
+	server->told_knows = told->knows;
+	server->others = told->running > server->inflight ?
+				 told->running - server->inflight :
+				 0;
+	if (!query->has_object)
+		return;
+	if (told->knows)
+		remember(steer, query->object, server);
+	else
+		forget_object(steer, query->object, server);
 }
 
 /* ---- notices ---- */
@@ -1582,7 +1558,7 @@
 {
 	uint64_t at_ms = read_clock(steer);
 
-	forget_peers(steer);
+	need_tick(steer->need);
 	measure_need(steer);
 	while (steer->memory && at_ms >= steer->memory->used_ms + MEMORY_MS)
 		free_memory(steer, steer->memory);
@@ -1590,6 +1566,19 @@
 
 /* ---- access ---- */
 
+struct steer_server *steer_find(const struct steer *steer, const char *id)
+{
+	struct steer_server *at;
+
+	HASH_FIND_STR(steer->servers, id, at);
+	return at;
+}
+
+uint32_t steer_way_ms(struct steer *steer, const struct steer_server *server)
+{
+	return (uint32_t)way_ms(steer, server);
+}
+
 const char *steer_server_id(const struct steer_server *server)
 {
 	return server->id;
@@ -1600,6 +1589,31 @@
 	return server->address;
 }
 
+const char *steer_server_region(const struct steer_server *server)
+{
+	return server->region;
+}
+
+uint32_t steer_server_hash(const struct steer_server *server)
+{
+	return (uint32_t)server->hash;
+}
+
+uint32_t steer_upstream_hash(const struct steer_server *server)
+{
+	return server->upstream->hash;
+}
+
+void steer_server_set_idle(struct steer_server *server, size_t nr_idle)
+{
+	server->nr_idle = nr_idle;
+}
+
+size_t steer_server_idle(const struct steer_server *server)
+{
+	return server->nr_idle;
+}
+
 const char *steer_server_zone(const struct steer_server *server)
 {
 	return server->zone;
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -16,6 +16,8 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "coord.h"
+#include "need.h"
 #include "plan.h"
 #include "settings.h"
 #include "topo.h"
@@ -26,6 +28,9 @@
 #endif
 
 #define STEER_TRIED_MAX 8
+/* Coordinators that are asked before one sending: each may tell that another
+ * server is better. */
+#define STEER_ASKED_MAX 3
 
 struct steer;
 struct steer_server;
@@ -53,6 +58,11 @@
 	uint32_t priority; /* 0 is the most urgent */
 	uint64_t body_bytes;
 	bool idempotent;
+	double chance; /* uniform in [0, 1), the same for all its choices */
+	bool again; /* not the first choice for the request */
+	uint32_t asked
+		[STEER_ASKED_MAX]; /* servers whose coordinator was asked */
+	size_t nr_asked;
 	/* Regions in which the request may run; none: anywhere. */
 	char *const *regions;
 	size_t nr_regions;
@@ -129,14 +139,16 @@
 };
 
 /*
- * To be called just before the request is sent, and once when it has ended.
+ * To be called just before the request is sent, and once when it has ended. The
+ * latter returns what the request showed of the server.
  */
 void steer_sent(struct steer *steer, struct steer_server *server,
 		const struct steer_query *query);
-void steer_ended(struct steer *steer, struct steer_server *server,
-		 const struct steer_query *query, enum steer_outcome outcome,
-		 const struct steer_sending *sending,
-		 const struct steer_load *load);
+enum coord_end steer_ended(struct steer *steer, struct steer_server *server,
+			   const struct steer_query *query,
+			   enum steer_outcome outcome,
+			   const struct steer_sending *sending,
+			   const struct steer_load *load);
 
 /*
  * What a server said of itself in an answer, see notice.h. To be called before
@@ -157,35 +169,47 @@
 void steer_connected(struct steer *steer, struct steer_server *server,
 		     uint32_t connect_ms);
 
-/* Requests that one instance has under way at a server. */
-struct steer_count {
-	uint32_t server; /* hash of its id */
-	uint32_t running;
-};
-
 /*
- * Fills in the servers that have requests of this instance, in a fixed order.
- * Returns their number.
+ * Fills in the requests of this instance by upstream and returns how many
+ * upstreams there are; takes those of another instance of the region.
  */
-size_t steer_counts(const struct steer *steer, struct steer_count *counts,
-		    size_t max);
+size_t steer_needs(struct steer *steer, struct need_entry *needs, size_t max);
+void steer_peer_needs(struct steer *steer, const char *instance,
+		      uint64_t incarnation, uint64_t sequence,
+		      const struct need_entry *needs, size_t nr);
 
 /*
- * Takes the counts of another instance. Older ones than the last of the same
- * incarnation are ignored; they are forgotten when no newer ones come.
+ * What the coordinator of a server told before a request is sent there.
  */
-void steer_peer_counts(struct steer *steer, const char *instance,
-		       uint64_t incarnation, uint64_t sequence,
-		       const struct steer_count *counts, size_t nr);
+void steer_told(struct steer *steer, struct steer_server *server,
+		const struct steer_query *query, const struct coord_told *told);
 
 /*
  * To be called about every 100 ms.
  */
 void steer_tick(struct steer *steer);
 
+/*
+ * Returns NULL when the table does not have it.
+ */
+struct steer_server *steer_find(const struct steer *steer, const char *id);
+
+/*
+ * Round trip to the server.
+ */
+uint32_t steer_way_ms(struct steer *steer, const struct steer_server *server);
 const char *steer_server_id(const struct steer_server *server);
 const char *steer_server_address(const struct steer_server *server);
 const char *steer_server_zone(const struct steer_server *server);
+const char *steer_server_region(const struct steer_server *server);
+uint32_t steer_server_hash(const struct steer_server *server);
+uint32_t steer_upstream_hash(const struct steer_server *server);
+
+/*
+ * How many connections to the server can be used at once.
+ */
+void steer_server_set_idle(struct steer_server *server, size_t nr_idle);
+size_t steer_server_idle(const struct steer_server *server);
 
 /*
  * Whatever the owner keeps with a server, such as connections. drop is called
