gateway: Keep connections to servers for as long as the servers say

Connections were given up after 4 s, after 1.5 s for requests that must not run twice.

Change: 15 s and 5 s, bounded by 70% of what the server names; after a kept connection broke only younger ones are used for 5 s.

--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -10,7 +10,7 @@
 #define CONNECT_TIMEOUT_MS 700
 /* Servers close idle connections after some seconds; a connection that is not
  * used for so long is closed first. */
-#define IDLE_MAX_MS 8000
+#define IDLE_MAX_MS 20000
 /* Part of the idle time that a server names, for the way of its close. */
 #define IDLE_SHARE_PERCENT 70
 #define IDLE_CONNECTIONS_MAX 32 /* of one server */
@@ -72,10 +72,10 @@
 
 static struct http_conn *take_idle(struct gw *gw, struct steer_server *server,
 				   uint64_t id, uint64_t idle_max_ms,
-				   bool *is_new)
+				   struct gw_over *over)
 {
 	struct gw_backend *backend = steer_server_data(server);
-	uint64_t now_ms = gw_now_ms(gw);
+	uint64_t now_ms = gw_now_ms(gw), idle_ms;
 	struct http_conn *conn;
 	struct idle *at, *next;
 
@@ -87,13 +87,16 @@
 			close_idle(backend, at);
 			continue;
 		}
-		if (!http_conn_opening(at->conn) &&
-		    now_ms > http_conn_idle_since_ms(at->conn) + idle_max_ms)
+		idle_ms = http_conn_opening(at->conn) ?
+				  0 :
+				  now_ms - http_conn_idle_since_ms(at->conn);
+		if (idle_ms > idle_max_ms)
 			return NULL;
 		if (id && at->last_id == id)
 			continue;
 		conn = at->conn;
-		*is_new = at->is_new;
+		over->is_new = at->is_new;
+		over->idle_ms = idle_ms;
 		remove_idle(backend, at);
 		return conn;
 	}
@@ -102,17 +105,17 @@
 
 struct http_conn *gw_backend_call(struct gw *gw, struct steer_server *server,
 				  const struct http_call *call, uint64_t id,
-				  uint64_t idle_max_ms, bool *is_new)
+				  uint64_t idle_max_ms, struct gw_over *over)
 {
-	struct http_conn *conn = take_idle(gw, server, id, idle_max_ms, is_new);
+	struct http_conn *conn = take_idle(gw, server, id, idle_max_ms, over);
 
 	if (!conn) {
-		*is_new = true;
+		*over = (struct gw_over){ .is_new = true };
 		if (http_conn_create(gw->loop, steer_server_address(server),
 				     CONNECT_TIMEOUT_MS, &conn))
 			return NULL;
 	}
-	gw_count(gw, "backend_connections", *is_new ? "new" : "reused");
+	gw_count(gw, "backend_connections", over->is_new ? "new" : "reused");
 	if (!http_conn_call(conn, call))
 		return conn;
 	http_conn_destroy(conn);
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -152,6 +152,9 @@
 	uint64_t ask_ms; /* when they were last asked for */
 
 	uint64_t stop_ms; /* when the stop was asked for, 0: not */
+	/* Kept connections that were idle for longer may be forgotten. */
+	uint64_t idle_doubt_ms;
+	uint64_t idle_doubt_until_ms;
 	uint64_t slow_ms; /* when the slow part of the tick last ran */
 	bool failed;
 };
@@ -213,6 +216,12 @@
 
 struct gw_backend;
 
+/* The connection that a call is sent over. */
+struct gw_over {
+	bool is_new;
+	uint64_t idle_ms; /* before the call */
+};
+
 /*
  * Sends a call to a server over a connection that is kept, if there is one
  * that is idle for no longer than idle_max_ms, or a new one. A connection whose
@@ -222,7 +231,8 @@
  */
 struct http_conn *gw_backend_call(struct gw *gw, struct steer_server *server,
 				  const struct http_call *call, uint64_t id,
-				  uint64_t idle_max_ms, bool *is_new);
+				  uint64_t idle_max_ms,
+				  struct gw_over *over);
 /*
  * Opens a connection for a call that is likely to follow.
  */
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -11,11 +11,14 @@
 #include "log.h"
 
 #define HEADERS_MAX 64
-/* Connections kept for longer may have been forgotten by the server, which is
- * only noticed after the request was sent; a request that must not run twice
- * could then not be sent again. */
-#define IDLE_MAX_MS 4000
-#define IDLE_MAX_ONCE_MS 1500
+/* Servers name the time after which they close an idle connection; most of it
+ * is used. A connection that the server has forgotten is only noticed after the
+ * request was sent, and one that must not run twice could then not be sent
+ * again, so those are more careful. */
+#define IDLE_MAX_MS 15000
+#define IDLE_MAX_ONCE_MS 5000
+/* After a kept connection broke, only younger ones are used for this time. */
+#define IDLE_DOUBT_MS 5000
 /* Sendings of one request that did not run it, beside attempts_max. */
 #define NOT_RUN_MAX 2
 /* Part of the fleet's retries that the instances use together; the rest covers
@@ -66,7 +69,7 @@
 	char server_zone[NAME_BYTES_MAX];
 	struct gw_slot slot; /* of the running sending, or the next */
 	struct http_conn *conn;
-	bool is_new; /* the connection */
+	struct gw_over over; /* the connection */
 	struct steer_sending sending;
 	uint64_t first_sent_ms;
 	uint32_t nr_run; /* sendings that may have run it */
@@ -502,7 +505,7 @@
 		  request->upstream, steer_outcome_name(outcome), cause,
 		  (unsigned long long)(gw_now_ms(request->gw) -
 				       request->sending.sent_ms),
-		  request->is_new, request->choice.load, request->choice.slots);
+		  request->over.is_new, request->choice.load, request->choice.slots);
 }
 
 /*
@@ -598,7 +601,7 @@
 	struct svc_answer read;
 
 	gw->adapter->read_answer(response, &read);
-	if (request->is_new)
+	if (request->over.is_new)
 		steer_connected(gw->steer, request->choice.server,
 				http_conn_connect_ms(conn));
 	load.known = read.has_load;
@@ -638,6 +641,35 @@
 	answer(request, response);
 }
 
+static uint64_t idle_max_ms(const struct gw_request *request)
+{
+	const struct gw *gw = request->gw;
+	uint64_t most_ms = request->query.idempotent ? IDLE_MAX_MS :
+						       IDLE_MAX_ONCE_MS;
+
+	if (gw_now_ms(gw) < gw->idle_doubt_until_ms &&
+	    most_ms > gw->idle_doubt_ms)
+		return gw->idle_doubt_ms;
+	return most_ms;
+}
+
+/*
+ * Servers that forget connections forget the older ones of all callers.
+ */
+static void note_broken(struct gw_request *request)
+{
+	struct gw *gw = request->gw;
+	uint64_t now_ms = gw_now_ms(gw);
+
+	if (request->over.is_new)
+		return;
+	if (now_ms >= gw->idle_doubt_until_ms ||
+	    request->over.idle_ms / 2 < gw->idle_doubt_ms)
+		gw->idle_doubt_ms = request->over.idle_ms / 2;
+	gw->idle_doubt_until_ms = now_ms + IDLE_DOUBT_MS;
+	gw_count(gw, "kept_connections_broken", "");
+}
+
 static void on_done(void *arg, struct http_conn *conn,
 		    const struct http_outcome *outcome)
 {
@@ -674,6 +706,8 @@
 		       RETRY_AFTER_MS);
 		return;
 	}
+	if (outcome->result == HTTP_CLOSED)
+		note_broken(request);
 	if (!outcome->bytes_sent) {
 		bool unwanted = !may_send(request);
 
@@ -737,8 +771,7 @@
 		&forward, &text, headers + call.nr_headers);
 	request->conn = gw_backend_call(
 		request->gw, request->choice.server, &call, id_hash(request),
-		request->query.idempotent ? IDLE_MAX_MS : IDLE_MAX_ONCE_MS,
-		&request->is_new);
+		idle_max_ms(request), &request->over);
 	if (request->conn && is_large(request) &&
 	    http_conn_sending(request->conn)) {
 		request->sends_large = true;
--- a/almondward/share.h
+++ b/almondward/share.h
@@ -28,8 +28,8 @@
 #define SHARE_REPORT_MS 500
 /* With many instances each reports less often, so that the leader takes a
  * bounded number of reports. Requests without a token ask in between. */
-#define SHARE_REPORT_PER_INSTANCE_MS 20
-#define SHARE_REPORT_MAX_MS 4000
+#define SHARE_REPORT_PER_INSTANCE_MS 10
+#define SHARE_REPORT_MAX_MS 3000
 
 /* Parts of a window in which uses are counted; the last ones are older than
  * the window by at least one part. */
