Tell less: list of control instances, idle customers, needs

Cause: on large truss with 195 entry instances the pings' list of control instances, the reports of 140 customers from every instance and the needs told to 65 others were most of the system's own bytes.

Change: pings name the control instances when they changed and in every eighth; customers without requests are in every third report, all of them when the leader is new; needs are told every five seconds at most and live twelve.

--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -29,6 +29,7 @@
 	char name[NAME_BYTES_MAX];
 	struct share_bucket bucket;
 	bool planned; /* is in the plan */
+	uint32_t turn; /* spreads the reports of idle ones */
 	struct gw_request *waiting; /* for a token, oldest first */
 	uint32_t nr_waiting;
 	uint32_t nr_asked; /* of them, tokens asked for at the leader */
@@ -146,6 +147,7 @@
 	uint64_t fed_version; /* of the table */
 	uint64_t report_ms;
 	uint64_t report_sequence;
+	uint32_t nr_reports; /* periodic ones */
 	uint64_t granted_sequence;
 	uint64_t granted_term;
 	bool ask; /* tokens are to be asked for */
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -16,6 +16,11 @@
 #define SUBSCRIBE_RETRY_MS 200
 /* Requests that wait for tokens within this time are asked for together. */
 #define ASK_INTERVAL_MS 20
+/* A customer with fewer requests a second, in thousandths, and none in the last
+ * window is idle, and told of in every so many reports. What it holds lives for
+ * SHARE_LIFETIME_MS, which is longer than that. */
+#define IDLE_MILLI 50
+#define IDLE_REPORTS 3
 /* A control instance that no leader has named for so long is given up. */
 #define UNNAMED_MS 30000
 
@@ -205,6 +210,22 @@
 	}
 }
 
+/*
+ * Customers without requests lately are told of in every third report: most
+ * instances see few of a hundred customers.
+ */
+static bool is_due(const struct gw *gw, struct gw_customer *at, bool whole)
+{
+	if (at->nr_asked < at->nr_waiting)
+		return true;
+	return whole &&
+	       ((gw->nr_reports + at->turn) % IDLE_REPORTS == 0 ||
+		gw->granted_term != gw->leader_term || /* knows nothing */
+		at->bucket.is_floor ||
+		share_bucket_used(&at->bucket, gw->ask_ms) ||
+		share_bucket_demand(&at->bucket, gw->ask_ms) > IDLE_MILLI);
+}
+
 /*
  * The periodic report has all customers, one in between only those with
  * requests that wait.
@@ -220,15 +241,17 @@
 
 	gw->ask = false;
 	gw->ask_ms = gw_now_ms(gw);
-	if (whole)
+	if (whole) {
 		gw->report_ms = gw->ask_ms;
+		gw->nr_reports++;
+	}
 	shares = calloc(nr + 1, sizeof(*shares));
 	list = calloc(nr + 1, sizeof(Aw__RateShare *));
 	if (!shares || !list)
 		goto out;
 	HASH_ITER(hh, gw->customers, at, next)
 	{
-		if (!whole && at->nr_asked >= at->nr_waiting)
+		if (!is_due(gw, at, whole))
 			continue;
 		aw__rate_share__init(&shares[i]);
 		shares[i].customer = at->name;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1329,6 +1329,7 @@
 				continue;
 			}
 			snprintf(at->name, sizeof(at->name), "%s", from->name);
+			at->turn = (uint32_t)i;
 			share_bucket_init(&at->bucket, from->rate_milli_per_s,
 					  window_ms, gw_now_ms(gw));
 			HASH_ADD_STR(gw->customers, name, at);
--- a/almondward/gossip.c
+++ b/almondward/gossip.c
@@ -8,7 +8,7 @@
 /* With many instances each tells the others less often, which bounds the
  * datagrams a second of one instance to 1000 / INTERVAL_PER_PEER_MS. */
 #define INTERVAL_PER_PEER_MS 100
-#define INTERVAL_MAX_MS (NEED_LIFETIME_MS / 2)
+#define INTERVAL_MAX_MS (NEED_LIFETIME_MS * 2 / 5)
 
 struct gossip {
 	struct gossip_settings settings;
--- a/almondward/need.h
+++ b/almondward/need.h
@@ -20,7 +20,7 @@
 #endif
 
 /* The numbers of an instance count for so long; it repeats them sooner. */
-#define NEED_LIFETIME_MS 5000
+#define NEED_LIFETIME_MS 12000
 #define NEED_UPSTREAMS_MAX 32 /* that one instance tells of */
 
 struct need;
--- a/almondward/peer.c
+++ b/almondward/peer.c
@@ -20,6 +20,10 @@
 #define STRANGERS_MAX 64
 /* A ping timer that is this late shows that the process did not run. */
 #define FROZEN_MS 1000
+/* The list of control instances is told when it has changed and, to be sure,
+ * with every eighth ping: with hundreds of entry instances it was most of their
+ * messages. */
+#define PINGS_PER_LIST 8
 
 /*
  * Both ends send a hello, which is authenticated by the cluster secret alone
@@ -59,6 +63,8 @@
 	Aw__Role role;
 	uint64_t incarnation;
 	void *data;
+	uint32_t nr_pings; /* sent */
+	uint64_t told_controls; /* version of the list in the last of them */
 	uint32_t busy; /* callbacks that run */
 	bool dead;
 	struct peer_link *prev, *next;
@@ -83,6 +89,7 @@
 	uint64_t term;
 	char **controls; /* named in pings */
 	size_t nr_controls;
+	uint64_t controls_version; /* changes with the list */
 };
 
 static uint64_t now_ms(const struct peer_node *node)
@@ -196,8 +203,12 @@
 
 	ping.leader = link->node->leader;
 	ping.term = link->node->term;
-	ping.controls = link->node->controls;
-	ping.n_controls = link->node->nr_controls;
+	if (link->nr_pings++ % PINGS_PER_LIST == 0 ||
+	    link->told_controls != link->node->controls_version) {
+		ping.controls = link->node->controls;
+		ping.n_controls = link->node->nr_controls;
+		link->told_controls = link->node->controls_version;
+	}
 	frame.body_case = AW__FRAME__BODY_PING;
 	frame.ping = &ping;
 	return send_frame(link, &frame);
@@ -613,8 +624,14 @@
 enum loop_error peer_node_set_controls(struct peer_node *node,
 				       const char *const *controls, size_t nr)
 {
-	size_t i;
+	size_t i = 0;
 
+	while (i < nr && i < node->nr_controls &&
+	       !strcmp(node->controls[i], controls[i]))
+		i++;
+	if (i == nr && nr == node->nr_controls)
+		return LOOP_OK;
+	node->controls_version++;
 	clear_controls(node);
 	node->controls = calloc(nr + 1, sizeof(*node->controls));
 	if (!node->controls)
