--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -85,10 +85,10 @@
 /* Objects with bodies from this size on have their servers in the zone. */
 #define LARGE_BODY_BYTES 16384
 
-/* Servers that an object is sent to, of the region of the instance and of all
- * others: the second bears what the first cannot, the third a lost one. */
-#define NEAR_SERVERS 3
-#define FAR_SERVERS 3
+/* Servers that an object is sent to in the region of the instance, and as many
+ * in all others: the second bears what the first cannot, the third a lost
+ * one. */
+#define OBJECT_SERVERS 3
 /* A server with more failures is not counted among them. */
 #define WORKS_FAILURES_MAX 0.5
 /* What a coordinator told is as good as new for this time. */
@@ -917,38 +917,35 @@
  * and it forgets another one for it.
  */
 struct ranks {
-	uint64_t near[NEAR_SERVERS]; /* scores, the highest first */
-	uint64_t far[FAR_SERVERS];
+	uint64_t near[OBJECT_SERVERS]; /* scores, the highest first */
+	uint64_t far[OBJECT_SERVERS];
 	uint64_t first; /* of the two the one that the object belongs to */
 	double used; /* part of the slots of all servers that is busy */
 };
 
-static void note_score(uint64_t *scores, size_t nr, uint64_t score)
+static void note_score(uint64_t scores[OBJECT_SERVERS], uint64_t score)
 {
-	size_t at = nr;
+	size_t at = OBJECT_SERVERS;
 
 	while (at && score > scores[at - 1])
 		at--;
-	if (at == nr)
+	if (at == OBJECT_SERVERS)
 		return;
-	memmove(scores + at + 1, scores + at, (nr - at - 1) * sizeof(*scores));
+	memmove(scores + at + 1, scores + at,
+		(OBJECT_SERVERS - at - 1) * sizeof(*scores));
 	scores[at] = score;
 }
 
 static void note_rank(struct ranks *ranks, const struct candidate *at)
 {
-	if (at->near)
-		note_score(ranks->near, NEAR_SERVERS, at->score);
-	else
-		note_score(ranks->far, FAR_SERVERS, at->score);
+	note_score(at->near ? ranks->near : ranks->far, at->score);
 }
 
 static bool is_ranked(const struct ranks *ranks, const struct candidate *at)
 {
 	const uint64_t *scores = at->near ? ranks->near : ranks->far;
-	size_t nr = at->near ? NEAR_SERVERS : FAR_SERVERS;
 
-	for (size_t i = 0; i < nr; i++)
+	for (size_t i = 0; i < OBJECT_SERVERS; i++)
 		if (scores[i] == at->score)
 			return true;
 	return false;
