gateway: Have connections to far servers ready

The zones with few servers are the worst served.

Change: a far server that was used within 10 s and may get requests has an open connection.

--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -14,6 +14,9 @@
 /* Part of the idle time that a server names, for the way of its close. */
 #define IDLE_SHARE_PERCENT 70
 #define IDLE_CONNECTIONS_MAX 32 /* of one server */
+/* A far server that was used within this time has a connection ready. */
+#define READY_MS 10000
+#define PREPARE_INTERVAL_MS 1000 /* when connections do not come about */
 
 struct idle {
 	struct http_conn *conn;
@@ -28,6 +31,8 @@
 	struct idle *idle;
 	size_t nr_idle;
 	struct steer_server *server; /* NULL: is being forgotten */
+	uint64_t used_ms; /* for a call */
+	uint64_t prepared_ms; /* when a connection was last made ready */
 	struct gw_backend *prev, *next;
 };
 
@@ -108,6 +113,7 @@
 				  uint64_t idle_max_ms, struct gw_over *over)
 {
 	struct http_conn *conn = take_idle(gw, server, id, idle_max_ms, over);
+	struct gw_backend *backend;
 
 	if (!conn) {
 		*over = (struct gw_over){ .is_new = true };
@@ -116,6 +122,9 @@
 			return NULL;
 	}
 	gw_count(gw, "backend_connections", over->is_new ? "new" : "reused");
+	backend = get_backend(gw, server);
+	if (backend)
+		backend->used_ms = gw_now_ms(gw);
 	if (!http_conn_call(conn, call))
 		return conn;
 	http_conn_destroy(conn);
@@ -193,5 +202,11 @@
 			if (now_ms >= at->until_ms || !is_usable(at))
 				close_idle(backend, at);
 		}
+		if (!backend->nr_idle && now_ms < backend->used_ms + READY_MS &&
+		    now_ms >= backend->prepared_ms + PREPARE_INTERVAL_MS &&
+		    steer_wants_connection(gw->steer, backend->server)) {
+			backend->prepared_ms = now_ms;
+			gw_backend_prepare(gw, backend->server);
+		}
 	}
 }
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -1528,6 +1528,15 @@
 	       !server->told_knows;
 }
 
+bool steer_wants_connection(struct steer *steer,
+			    const struct steer_server *server)
+{
+	read_clock(steer);
+	return server->listed && !server->evacuated && !server->gone &&
+	       strcmp(server->region, steer->region) != 0 &&
+	       works(steer, server) && notice_of(steer, server) == NOTICE_NONE;
+}
+
 /* ---- notices ---- */
 
 /*
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -213,6 +213,13 @@
 uint32_t steer_server_hash(const struct steer_server *server);
 uint32_t steer_upstream_hash(const struct steer_server *server);
 
+/*
+ * Whether a connection to the server should be ready before there is a request:
+ * it is far, so that a new one takes long, and may get requests.
+ */
+bool steer_wants_connection(struct steer *steer,
+			    const struct steer_server *server);
+
 /*
  * How many connections to the server can be used at once.
  */
--- a/tests/steer_test.cc
+++ b/tests/steer_test.cc
@@ -1055,3 +1055,41 @@
 	EXPECT_GT(pick(query(1)).expected_ms, 250u);
 	EXPECT_LT(pick(plain).expected_ms, 50u);
 }
+
+// Pattern: a third of the requests runs in another region, where a new
+// connection takes as long as the work. Those servers have one ready, unless
+// they get no requests.
+TEST_F(Steer, FarServersThatWorkHaveAConnectionReady)
+{
+	auto asked = query();
+
+	cluster.bounds.drain_milli_s = 2500;
+	add("near", "a2");
+	add("far", "b1");
+	sync();
+	auto near = pick(asked).server;
+	ASSERT_STREQ("near", steer_server_id(near));
+	EXPECT_FALSE(steer_wants_connection(steer, near));
+	auto far = steer_find(steer, "far");
+	ASSERT_NE(nullptr, far);
+	EXPECT_TRUE(steer_wants_connection(steer, far));
+	steer_server_pauses(steer, far, 1000);
+	EXPECT_FALSE(steer_wants_connection(steer, far));
+	clk_advance_ms(clk, 2000);
+	EXPECT_TRUE(steer_wants_connection(steer, far));
+	steer_server_leaves(steer, far);
+	EXPECT_FALSE(steer_wants_connection(steer, far));
+}
+
+// A far server with an open connection is a round trip nearer.
+TEST_F(Steer, OpenConnectionCountsInTheWay)
+{
+	add("far", "b1");
+	sync();
+	auto choice = pick(query());
+	uint32_t before = choice.expected_ms;
+	uint32_t way_ms = steer_way_ms(steer, choice.server);
+
+	steer_server_set_idle(choice.server, 1);
+	EXPECT_NEAR(before - way_ms, pick(query()).expected_ms, 1);
+}
