--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -14,7 +14,7 @@
 /* Servers name the time after which they close an idle connection; most of it
  * is used. A connection that the server has forgotten is only noticed after the
  * request was sent, and one that must not run twice could then not be sent
- * again, so those are more careful. */
+ * again, so only younger ones are used for it. */
 #define IDLE_MAX_MS 15000
 #define IDLE_MAX_ONCE_MS 5000
 /* After a kept connection broke, only younger ones are used for this time. */
@@ -31,7 +31,7 @@
 /* The answer has to reach the caller before it gives up. */
 #define ANSWER_WAY_MS 10
 #define ANSWER_BYTES_MAX ((size_t)64 << 20)
-/* One answer takes at most this part of the memory for answers: a server may
+/* One answer takes at most a quarter of the memory for answers: a server may
  * send one without end. */
 #define ANSWER_SHARE 4
 /* A server holds a slot from the first byte on, so of many large bodies for a
@@ -811,8 +811,8 @@
 }
 
 /*
- * Tells the coordinator of the chosen server of the request. Returns whether
- * the request is to be sent there now.
+ * Tells the coordinator of the chosen server of the request, and has a
+ * connection opened to a far server meanwhile.
  */
 static enum gw_slot_state ask(struct gw_request *request)
 {
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -190,8 +190,6 @@
 	struct steer_server *servers; /* by id */
 	struct steer_server *unlisted;
 	struct need *need; /* of the other instances of the region */
-	const struct topo *topo;
-	size_t nr_instances; /* in the table, with this one */
 	size_t nr_regions;
 	struct memory *memory;
 	struct notice_store *notices; /* of servers that are not listed */
@@ -663,8 +661,6 @@
 
 	read_clock(steer);
 	sync.instances = topo_instances(topo, &sync.nr_instances);
-	steer->topo = topo;
-	steer->nr_instances = sync.nr_instances;
 	HASH_ITER(hh, steer->servers, server, next)
 	{
 		server->listed = false;
