tests: Both servers of servers_that_leave_or_pause are certain to be asked

By the log of entry-0 all objects went to the servers of its zone, since work takes 20 ms on all of them, and the other zone's server had had its first request while the cluster started. The check of the pause was not reached.

Change: the two other servers shed, so requests reach the ones that are looked at; the checks are the same.

--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -214,12 +214,16 @@
     leaving, pausing = cluster.servers["server-0"], cluster.servers["server-1"]
     leaving.notice = "leaves"
     pausing.notice = "pause"
+    # The others run nothing, so that both are certain to be asked.
+    for name in ("server-2", "server-3"):
+        cluster.servers[name].fault = "shed"
     end = time.monotonic() + 4
     while time.monotonic() < end:
         await cluster.request("entry-0", f"/read/{cluster.rng.randrange(200)}")
     assert leaving.first_notice, "the server was never used"
     assert leaving.last_arrival < leaving.first_notice + 2.5, leaving.last_arrival
-    assert pausing.paused_at and pausing.within_pause <= 2, pausing.within_pause
+    assert pausing.paused_at, "the server was never used"
+    assert pausing.within_pause <= 2, pausing.within_pause
 
 
 def main():
