--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -123,6 +123,9 @@
         self.state = "ready"
         self.left_at = None       # when the departure was acknowledged
         self.fault = None         # see answer()
+        self.lethal_s = 0.005     # from the begin of a request that ends it
+        self.down_s = 1.0
+        self.keeps_id = False     # when it starts again
         self.notice = None        # "leaves", "pause": said in answers
         self.first_notice = None  # when it was first said
         self.last_arrival = 0.0
@@ -131,8 +134,12 @@
         self.silent = False       # sends no heartbeats
         self.last_answer = b""    # whole, for second copies
         self.work_s = 0.02
+        self.cold_until = 0.0     # said in heartbeats
         self.tasks = []
         self.running = 0
+        self.writers = set()
+        self.starts = 1
+        self.is_down = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
@@ -143,11 +150,34 @@
             task.cancel()
         self.server.close()
 
+    def end(self, down_s, same_id=False):
+        """The process ends without a word and starts again after a time, mostly
+        under another id."""
+        if self.is_down:
+            return
+        self.is_down = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.tasks[0].cancel()
+        self.tasks = [asyncio.create_task(self.start_again(down_s, same_id))]
+
+    async def start_again(self, down_s, same_id):
+        await asyncio.sleep(down_s)
+        self.starts += 1
+        if not same_id:
+            self.name = f"{self.name.split('.')[0]}.{self.starts}"
+        self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self.is_down = False
+        self.tasks.clear()
+        await self.start()
+
     def beat_body(self):
         self.sequence += 1
         return json.dumps({
             "service": "desk", "address": self.address, "zone": self.zone, "version": "v1",
-            "concurrency": 8, "state": self.state, "coldRemainingS": 0,
+            "concurrency": 8, "state": self.state,
+            "coldRemainingS": max(0, round(self.cold_until - time.monotonic(), 3)),
             "sequence": self.sequence, "born": self.born}).encode()
 
     async def beat_once(self):
@@ -167,14 +197,17 @@
             await asyncio.sleep(0.5)
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
                 if not await self.answer(writer, first, headers, body):
                     break
-        except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.LimitOverrunError):
+        except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.LimitOverrunError,
+                asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, writer, first, headers, body):
@@ -199,6 +232,11 @@
                           "\r\nContent-Length: 0\r\n\r\n").encode())
             return True
         self.cluster.ran(self, request_id, method, target, headers, body)
+        if self.cluster.is_lethal(target, body):
+            await asyncio.sleep(self.lethal_s)
+            self.cluster.ended.append((time.monotonic(), self.name))
+            self.end(self.down_s, self.keeps_id)
+            return False
         self.running += 1
         await asyncio.sleep(self.work_s)
         self.running -= 1
@@ -287,6 +325,8 @@
         self.servers = {}
         self.runs = {}            # request id: list of (server, time, method, customer)
         self.broken = []          # promises that were not kept
+        self.ended = []           # (time, server) that a request has ended
+        self.is_lethal = lambda target, body: "lethal" in target or b"lethal" in body
         self.nr_servers = nr_servers
         self.link_mbit = link_mbit  # rate of the entry instances' links, 0: not known
 
