--- a/almondward/entry_admission.c
+++ b/almondward/entry_admission.c
@@ -6,9 +6,10 @@
 #include <string.h>
 #include <strings.h>
 
-#include <sodium.h>
 #include <utlist.h>
 
+#include "fingerprint.h"
+
 #define OPEN_CUSTOMER "-"
 #define RESERVED_PATH "/almondward"
 /*
@@ -188,28 +189,6 @@
 	return REFUSAL_NONE;
 }
 
-static void add_to_hash(crypto_generichash_state *state, const char *text)
-{
-	/* The NUL separates the parts. */
-	crypto_generichash_update(state, (const uint8_t *)text,
-				  strlen(text) + 1);
-}
-
-static void hash_request(struct request *request)
-{
-	const struct http_request *http = request->http;
-	crypto_generichash_state state;
-
-	crypto_generichash(request->body_hash, HASH_BYTES, http->body,
-			   http->body_bytes, NULL, 0);
-	crypto_generichash_init(&state, NULL, 0, HASH_BYTES);
-	add_to_hash(&state, request->customer);
-	add_to_hash(&state, http->method);
-	add_to_hash(&state, http->target);
-	crypto_generichash_update(&state, request->body_hash, HASH_BYTES);
-	crypto_generichash_final(&state, request->fingerprint, HASH_BYTES);
-}
-
 static enum refusal check(struct request *request)
 {
 	const char *key = bearer_key(request);
@@ -237,7 +216,8 @@
 	refusal = check_idempotency_key(request);
 	if (refusal)
 		return refusal;
-	hash_request(request);
+	fpr_make(request->customer, request->http, request->body_hash,
+		 request->fingerprint);
 	if (agent_quarantined(request->core->agent, request->fingerprint))
 		return REFUSAL_QUARANTINED;
 	return REFUSAL_NONE;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -6,6 +6,7 @@
 #include <cjson/cJSON.h>
 #include <utlist.h>
 
+#include "fingerprint.h"
 #include "gateway_internal.h"
 #include "hash.h"
 #include "log.h"
@@ -493,15 +494,18 @@
 static void log_attempt(const struct gw_request *request,
 			enum steer_outcome outcome, const char *cause)
 {
-	char id[EVENT_TEXT_BYTES];
+	char id[EVENT_TEXT_BYTES], print[FPR_TEXT_BYTES];
+	uint8_t fingerprint[HASH_BYTES];
 
 	gw_count(request->gw, "attempts", steer_outcome_name(outcome));
 	if (outcome == STEER_SUCCESS)
 		return;
+	fpr_make(request->customer, request->req, NULL, fingerprint);
 	event_log(EVENT_ATTEMPT,
-		  "id=%s server=%s upstream=%s outcome=%s cause=%s "
+		  "id=%s request=%s server=%s upstream=%s outcome=%s cause=%s "
 		  "took_ms=%llu new_connection=%d load=%u/%u",
-		  id_text(request, id), steer_server_id(request->choice.server),
+		  id_text(request, id), fpr_text(fingerprint, print),
+		  steer_server_id(request->choice.server),
 		  request->upstream, steer_outcome_name(outcome), cause,
 		  (unsigned long long)(gw_now_ms(request->gw) -
 				       request->sending.sent_ms),
