--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -1672,6 +1672,51 @@
   assert(message->base.descriptor == &aw__op_departure__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   aw__quarantine_record__init
+                     (Aw__QuarantineRecord         *message)
+{
+  static const Aw__QuarantineRecord init_value = AW__QUARANTINE_RECORD__INIT;
+  *message = init_value;
+}
+size_t aw__quarantine_record__get_packed_size
+                     (const Aw__QuarantineRecord *message)
+{
+  assert(message->base.descriptor == &aw__quarantine_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t aw__quarantine_record__pack
+                     (const Aw__QuarantineRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &aw__quarantine_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t aw__quarantine_record__pack_to_buffer
+                     (const Aw__QuarantineRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &aw__quarantine_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Aw__QuarantineRecord *
+       aw__quarantine_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Aw__QuarantineRecord *)
+     protobuf_c_message_unpack (&aw__quarantine_record__descriptor,
+                                allocator, len, data);
+}
+void   aw__quarantine_record__free_unpacked
+                     (Aw__QuarantineRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &aw__quarantine_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   aw__op_noop__init
                      (Aw__OpNoop         *message)
 {
@@ -2842,6 +2887,51 @@
   assert(message->base.descriptor == &aw__crash_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   aw__answer_report__init
+                     (Aw__AnswerReport         *message)
+{
+  static const Aw__AnswerReport init_value = AW__ANSWER_REPORT__INIT;
+  *message = init_value;
+}
+size_t aw__answer_report__get_packed_size
+                     (const Aw__AnswerReport *message)
+{
+  assert(message->base.descriptor == &aw__answer_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t aw__answer_report__pack
+                     (const Aw__AnswerReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &aw__answer_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t aw__answer_report__pack_to_buffer
+                     (const Aw__AnswerReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &aw__answer_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Aw__AnswerReport *
+       aw__answer_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Aw__AnswerReport *)
+     protobuf_c_message_unpack (&aw__answer_report__descriptor,
+                                allocator, len, data);
+}
+void   aw__answer_report__free_unpacked
+                     (Aw__AnswerReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &aw__answer_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   aw__report__init
                      (Aw__Report         *message)
 {
@@ -2932,6 +3022,51 @@
   assert(message->base.descriptor == &aw__quarantine__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   aw__crash_news__init
+                     (Aw__CrashNews         *message)
+{
+  static const Aw__CrashNews init_value = AW__CRASH_NEWS__INIT;
+  *message = init_value;
+}
+size_t aw__crash_news__get_packed_size
+                     (const Aw__CrashNews *message)
+{
+  assert(message->base.descriptor == &aw__crash_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t aw__crash_news__pack
+                     (const Aw__CrashNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &aw__crash_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t aw__crash_news__pack_to_buffer
+                     (const Aw__CrashNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &aw__crash_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Aw__CrashNews *
+       aw__crash_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Aw__CrashNews *)
+     protobuf_c_message_unpack (&aw__crash_news__descriptor,
+                                allocator, len, data);
+}
+void   aw__crash_news__free_unpacked
+                     (Aw__CrashNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &aw__crash_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   aw__grant__init
                      (Aw__Grant         *message)
 {
@@ -5974,7 +6109,7 @@
   (ProtobufCMessageInit) aw__operator_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__fleet_state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor aw__fleet_state__field_descriptors[13] =
 {
   {
     "applied_index",
@@ -6120,6 +6255,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quarantines",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Aw__FleetState, n_quarantines),
+    offsetof(Aw__FleetState, quarantines),
+    &aw__quarantine_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__fleet_state__field_indices_by_name[] = {
   0,   /* field[0] = applied_index */
@@ -6131,6 +6278,7 @@
   4,   /* field[4] = keys */
   8,   /* field[8] = plan */
   9,   /* field[9] = plan_digests */
+  12,   /* field[12] = quarantines */
   7,   /* field[7] = results */
   1,   /* field[1] = state_version */
   2,   /* field[2] = time_ms */
@@ -6138,7 +6286,7 @@
 static const ProtobufCIntRange aw__fleet_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor aw__fleet_state__descriptor =
 {
@@ -6148,7 +6296,7 @@
   "Aw__FleetState",
   "aw",
   sizeof(Aw__FleetState),
-  12,
+  13,
   aw__fleet_state__field_descriptors,
   aw__fleet_state__field_indices_by_name,
   1,  aw__fleet_state__number_ranges,
@@ -6844,6 +6992,70 @@
   (ProtobufCMessageInit) aw__op_departure__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor aw__quarantine_record__field_descriptors[3] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Aw__QuarantineRecord, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Aw__QuarantineRecord, until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aw__QuarantineRecord, trial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned aw__quarantine_record__field_indices_by_name[] = {
+  0,   /* field[0] = fingerprint */
+  2,   /* field[2] = trial */
+  1,   /* field[1] = until_ms */
+};
+static const ProtobufCIntRange aw__quarantine_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor aw__quarantine_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "aw.QuarantineRecord",
+  "QuarantineRecord",
+  "Aw__QuarantineRecord",
+  "aw",
+  sizeof(Aw__QuarantineRecord),
+  3,
+  aw__quarantine_record__field_descriptors,
+  aw__quarantine_record__field_indices_by_name,
+  1,  aw__quarantine_record__number_ranges,
+  (ProtobufCMessageInit) aw__quarantine_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 #define aw__op_noop__field_descriptors NULL
 #define aw__op_noop__field_indices_by_name NULL
 #define aw__op_noop__number_ranges NULL
@@ -6862,7 +7074,7 @@
   (ProtobufCMessageInit) aw__op_noop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__op__field_descriptors[18] =
+static const ProtobufCFieldDescriptor aw__op__field_descriptors[19] =
 {
   {
     "time_ms",
@@ -7080,6 +7292,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quarantine",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Aw__Op, body_case),
+    offsetof(Aw__Op, quarantine),
+    &aw__quarantine_record__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__op__field_indices_by_name[] = {
   12,   /* field[12] = claim */
@@ -7098,6 +7322,7 @@
   3,   /* field[3] = noop */
   1,   /* field[1] = operator_request_id */
   15,   /* field[15] = plan_change */
+  18,   /* field[18] = quarantine */
   0,   /* field[0] = time_ms */
   16,   /* field[16] = zone */
 };
@@ -7105,7 +7330,7 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor aw__op__descriptor =
 {
@@ -7115,7 +7340,7 @@
   "Aw__Op",
   "aw",
   sizeof(Aw__Op),
-  18,
+  19,
   aw__op__field_descriptors,
   aw__op__field_indices_by_name,
   2,  aw__op__number_ranges,
@@ -9089,7 +9314,7 @@
   (ProtobufCMessageInit) aw__slot_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__crash_report__field_descriptors[4] =
+static const ProtobufCFieldDescriptor aw__crash_report__field_descriptors[9] =
 {
   {
     "fingerprint",
@@ -9139,17 +9364,82 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "took_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__CrashReport, took_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aw__CrashReport, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aw__CrashReport, cold),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "server_id",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Aw__CrashReport, server_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Aw__CrashReport, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__crash_report__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
+  6,   /* field[6] = cold */
+  5,   /* field[5] = ended */
   0,   /* field[0] = fingerprint */
   1,   /* field[1] = server_address */
+  7,   /* field[7] = server_id */
   2,   /* field[2] = server_incarnation */
+  4,   /* field[4] = took_ms */
+  8,   /* field[8] = zone */
 };
 static const ProtobufCIntRange aw__crash_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor aw__crash_report__descriptor =
 {
@@ -9159,13 +9449,64 @@
   "Aw__CrashReport",
   "aw",
   sizeof(Aw__CrashReport),
-  4,
+  9,
   aw__crash_report__field_descriptors,
   aw__crash_report__field_indices_by_name,
   1,  aw__crash_report__number_ranges,
   (ProtobufCMessageInit) aw__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor aw__answer_report__field_descriptors[2] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Aw__AnswerReport, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__AnswerReport, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned aw__answer_report__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = fingerprint */
+};
+static const ProtobufCIntRange aw__answer_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor aw__answer_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "aw.AnswerReport",
+  "AnswerReport",
+  "Aw__AnswerReport",
+  "aw",
+  sizeof(Aw__AnswerReport),
+  2,
+  aw__answer_report__field_descriptors,
+  aw__answer_report__field_indices_by_name,
+  1,  aw__answer_report__number_ranges,
+  (ProtobufCMessageInit) aw__answer_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor aw__report__field_descriptors[14] =
 {
   {
@@ -9373,7 +9714,7 @@
   (ProtobufCMessageInit) aw__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__quarantine__field_descriptors[3] =
+static const ProtobufCFieldDescriptor aw__quarantine__field_descriptors[6] =
 {
   {
     "fingerprint",
@@ -9411,16 +9752,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Quarantine, state),
+    &aw__quarantine_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Quarantine, first_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Quarantine, last_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__quarantine__field_indices_by_name[] = {
   1,   /* field[1] = expires_in_ms */
   0,   /* field[0] = fingerprint */
+  4,   /* field[4] = first_age_ms */
+  5,   /* field[5] = last_age_ms */
   2,   /* field[2] = servers_crashed */
+  3,   /* field[3] = state */
 };
 static const ProtobufCIntRange aw__quarantine__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor aw__quarantine__descriptor =
 {
@@ -9430,13 +9810,64 @@
   "Aw__Quarantine",
   "aw",
   sizeof(Aw__Quarantine),
-  3,
+  6,
   aw__quarantine__field_descriptors,
   aw__quarantine__field_indices_by_name,
   1,  aw__quarantine__number_ranges,
   (ProtobufCMessageInit) aw__quarantine__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor aw__crash_news__field_descriptors[2] =
+{
+  {
+    "crashes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Aw__CrashNews, n_crashes),
+    offsetof(Aw__CrashNews, crashes),
+    &aw__crash_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Aw__CrashNews, n_answers),
+    offsetof(Aw__CrashNews, answers),
+    &aw__answer_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned aw__crash_news__field_indices_by_name[] = {
+  1,   /* field[1] = answers */
+  0,   /* field[0] = crashes */
+};
+static const ProtobufCIntRange aw__crash_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor aw__crash_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "aw.CrashNews",
+  "CrashNews",
+  "Aw__CrashNews",
+  "aw",
+  sizeof(Aw__CrashNews),
+  2,
+  aw__crash_news__field_descriptors,
+  aw__crash_news__field_indices_by_name,
+  1,  aw__crash_news__number_ranges,
+  (ProtobufCMessageInit) aw__crash_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor aw__grant__field_descriptors[12] =
 {
   {
@@ -9812,7 +10243,7 @@
   (ProtobufCMessageInit) aw__rate_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__rate_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor aw__rate_report__field_descriptors[6] =
 {
   {
     "instance",
@@ -9886,21 +10317,8 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "crashes",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Aw__RateReport, n_crashes),
-    offsetof(Aw__RateReport, crashes),
-    &aw__crash_report__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned aw__rate_report__field_indices_by_name[] = {
-  6,   /* field[6] = crashes */
   3,   /* field[3] = granted_sequence */
   4,   /* field[4] = granted_term */
   0,   /* field[0] = instance */
@@ -9911,7 +10329,7 @@
 static const ProtobufCIntRange aw__rate_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor aw__rate_report__descriptor =
 {
@@ -9921,7 +10339,7 @@
   "Aw__RateReport",
   "aw",
   sizeof(Aw__RateReport),
-  7,
+  6,
   aw__rate_report__field_descriptors,
   aw__rate_report__field_indices_by_name,
   1,  aw__rate_report__number_ranges,
@@ -9992,7 +10410,7 @@
   (ProtobufCMessageInit) aw__rate_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__feed__field_descriptors[13] =
+static const ProtobufCFieldDescriptor aw__feed__field_descriptors[14] =
 {
   {
     "term",
@@ -10150,6 +10568,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quarantines_included",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Feed, quarantines_included),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__feed__field_indices_by_name[] = {
   2,   /* field[2] = changes */
@@ -10160,6 +10590,7 @@
   1,   /* field[1] = plan */
   3,   /* field[3] = plan_index */
   11,   /* field[11] = quarantines */
+  13,   /* field[13] = quarantines_included */
   7,   /* field[7] = removed_servers */
   6,   /* field[6] = servers */
   4,   /* field[4] = table_version */
@@ -10169,7 +10600,7 @@
 static const ProtobufCIntRange aw__feed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor aw__feed__descriptor =
 {
@@ -10179,7 +10610,7 @@
   "Aw__Feed",
   "aw",
   sizeof(Aw__Feed),
-  13,
+  14,
   aw__feed__field_descriptors,
   aw__feed__field_indices_by_name,
   1,  aw__feed__number_ranges,
@@ -11006,7 +11437,7 @@
   (ProtobufCMessageInit) aw__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor aw__frame__field_descriptors[15] =
 {
   {
     "hello",
@@ -11176,8 +11607,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_news",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Aw__Frame, body_case),
+    offsetof(Aw__Frame, crash_news),
+    &aw__crash_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__frame__field_indices_by_name[] = {
+  14,   /* field[14] = crash_news */
   8,   /* field[8] = feed */
   4,   /* field[4] = grant */
   11,   /* field[11] = heartbeats */
@@ -11196,7 +11640,7 @@
 static const ProtobufCIntRange aw__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor aw__frame__descriptor =
 {
@@ -11206,7 +11650,7 @@
   "Aw__Frame",
   "aw",
   sizeof(Aw__Frame),
-  14,
+  15,
   aw__frame__field_descriptors,
   aw__frame__field_indices_by_name,
   1,  aw__frame__number_ranges,
@@ -11461,6 +11905,36 @@
   aw__bucket_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue aw__quarantine_state__enum_values_by_number[3] =
+{
+  { "QUARANTINE_REFUSED", "AW__QUARANTINE_STATE__QUARANTINE_REFUSED", 0 },
+  { "QUARANTINE_TRIAL", "AW__QUARANTINE_STATE__QUARANTINE_TRIAL", 1 },
+  { "QUARANTINE_WATCHED", "AW__QUARANTINE_STATE__QUARANTINE_WATCHED", 2 },
+};
+static const ProtobufCIntRange aw__quarantine_state__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex aw__quarantine_state__enum_values_by_name[3] =
+{
+  { "QUARANTINE_REFUSED", 0 },
+  { "QUARANTINE_TRIAL", 1 },
+  { "QUARANTINE_WATCHED", 2 },
+};
+const ProtobufCEnumDescriptor aw__quarantine_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "aw.QuarantineState",
+  "QuarantineState",
+  "Aw__QuarantineState",
+  "aw",
+  3,
+  aw__quarantine_state__enum_values_by_number,
+  3,
+  aw__quarantine_state__enum_values_by_name,
+  1,
+  aw__quarantine_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue aw__slot_end_kind__enum_values_by_number[4] =
 {
   { "SLOT_UNTOLD", "AW__SLOT_END_KIND__SLOT_UNTOLD", 0 },
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -52,6 +52,7 @@
 typedef struct Aw__OpClaimRelease Aw__OpClaimRelease;
 typedef struct Aw__OpZone Aw__OpZone;
 typedef struct Aw__OpDeparture Aw__OpDeparture;
+typedef struct Aw__QuarantineRecord Aw__QuarantineRecord;
 typedef struct Aw__OpNoop Aw__OpNoop;
 typedef struct Aw__Op Aw__Op;
 typedef struct Aw__OpResult Aw__OpResult;
@@ -78,8 +79,10 @@
 typedef struct Aw__SlotDemand Aw__SlotDemand;
 typedef struct Aw__SlotGrant Aw__SlotGrant;
 typedef struct Aw__CrashReport Aw__CrashReport;
+typedef struct Aw__AnswerReport Aw__AnswerReport;
 typedef struct Aw__Report Aw__Report;
 typedef struct Aw__Quarantine Aw__Quarantine;
+typedef struct Aw__CrashNews Aw__CrashNews;
 typedef struct Aw__Grant Aw__Grant;
 typedef struct Aw__Subscribe Aw__Subscribe;
 typedef struct Aw__RateShare Aw__RateShare;
@@ -167,6 +170,18 @@
   AW__BUCKET_KIND__BUCKET_LINK = 1
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__BUCKET_KIND)
 } Aw__BucketKind;
+typedef enum _Aw__QuarantineState {
+  AW__QUARANTINE_STATE__QUARANTINE_REFUSED = 0,
+  /*
+   * one sending at a time may show what it is
+   */
+  AW__QUARANTINE_STATE__QUARANTINE_TRIAL = 1,
+  /*
+   * is served
+   */
+  AW__QUARANTINE_STATE__QUARANTINE_WATCHED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__QUARANTINE_STATE)
+} Aw__QuarantineState;
 typedef enum _Aw__SlotEndKind {
   AW__SLOT_END_KIND__SLOT_UNTOLD = 0,
   AW__SLOT_END_KIND__SLOT_KNEW = 1,
@@ -683,10 +698,15 @@
    */
   size_t n_departures;
   Aw__Departure **departures;
+  /*
+   * oldest first
+   */
+  size_t n_quarantines;
+  Aw__QuarantineRecord **quarantines;
 };
 #define AW__FLEET_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__fleet_state__descriptor) \
-    , 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Aw__OpConfig
@@ -834,6 +854,24 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Requests like this one are refused, or sent one at a time.
+ */
+struct  Aw__QuarantineRecord
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData fingerprint;
+  /*
+   * replicated time, 0 in an operation: ends
+   */
+  uint64_t until_ms;
+  protobuf_c_boolean trial;
+};
+#define AW__QUARANTINE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__quarantine_record__descriptor) \
+    , {0,NULL}, 0, 0 }
+
+
 struct  Aw__OpNoop
 {
   ProtobufCMessage base;
@@ -859,7 +897,8 @@
   AW__OP__BODY_CLAIM_RELEASE = 21,
   AW__OP__BODY_PLAN_CHANGE = 22,
   AW__OP__BODY_ZONE = 23,
-  AW__OP__BODY_DEPARTURE = 24
+  AW__OP__BODY_DEPARTURE = 24,
+  AW__OP__BODY_QUARANTINE = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__OP__BODY__CASE)
 } Aw__Op__BodyCase;
 
@@ -895,6 +934,7 @@
     Aw__PlanChange *plan_change;
     Aw__OpZone *zone;
     Aw__OpDeparture *departure;
+    Aw__QuarantineRecord *quarantine;
   };
 };
 #define AW__OP__INIT \
@@ -1351,10 +1391,47 @@
    * since the connection broke, when sent
    */
   uint32_t age_ms;
+  /*
+   * from the sending until then
+   */
+  uint32_t took_ms;
+  /*
+   * the process is known to have ended
+   */
+  protobuf_c_boolean ended;
+  /*
+   * the server was cold
+   */
+  protobuf_c_boolean cold;
+  /*
+   * in a seeded cluster
+   */
+  char *server_id;
+  /*
+   * in a seeded cluster
+   */
+  char *zone;
 };
 #define AW__CRASH_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__crash_report__descriptor) \
-    , {0,NULL}, (char *)protobuf_c_empty_string, 0, 0 }
+    , {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A server has run such a request and answered.
+ */
+struct  Aw__AnswerReport
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData fingerprint;
+  /*
+   * when sent
+   */
+  uint32_t age_ms;
+};
+#define AW__ANSWER_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__answer_report__descriptor) \
+    , {0,NULL}, 0 }
 
 
 struct  Aw__Report
@@ -1410,10 +1487,35 @@
   ProtobufCBinaryData fingerprint;
   uint32_t expires_in_ms;
   uint32_t servers_crashed;
+  Aw__QuarantineState state;
+  /*
+   * since the first loss of a server, when sent
+   */
+  uint32_t first_age_ms;
+  /*
+   * since the last one
+   */
+  uint32_t last_age_ms;
 };
 #define AW__QUARANTINE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__quarantine__descriptor) \
-    , {0,NULL}, 0, 0 }
+    , {0,NULL}, 0, 0, AW__QUARANTINE_STATE__QUARANTINE_REFUSED, 0, 0 }
+
+
+/*
+ * From an entry instance to the leader of a seeded cluster.
+ */
+struct  Aw__CrashNews
+{
+  ProtobufCMessage base;
+  size_t n_crashes;
+  Aw__CrashReport **crashes;
+  size_t n_answers;
+  Aw__AnswerReport **answers;
+};
+#define AW__CRASH_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__crash_news__descriptor) \
+    , 0,NULL, 0,NULL }
 
 
 struct  Aw__Grant
@@ -1526,12 +1628,10 @@
   uint64_t granted_term;
   size_t n_shares;
   Aw__RateShare **shares;
-  size_t n_crashes;
-  Aw__CrashReport **crashes;
 };
 #define AW__RATE_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__rate_report__descriptor) \
-    , NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Aw__RateGrant
@@ -1587,6 +1687,9 @@
   char **evacuated_zones;
   size_t n_instances;
   Aw__Instance **instances;
+  /*
+   * all, if included
+   */
   size_t n_quarantines;
   Aw__Quarantine **quarantines;
   /*
@@ -1594,10 +1697,11 @@
    */
   size_t n_controls;
   char **controls;
+  protobuf_c_boolean quarantines_included;
 };
 #define AW__FEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__feed__descriptor) \
-    , 0, NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -1815,7 +1919,8 @@
   AW__FRAME__BODY_RATE_GRANT = 11,
   AW__FRAME__BODY_HEARTBEATS = 12,
   AW__FRAME__BODY_READ_INDEX = 13,
-  AW__FRAME__BODY_READ_INDEX_REPLY = 14
+  AW__FRAME__BODY_READ_INDEX_REPLY = 14,
+  AW__FRAME__BODY_CRASH_NEWS = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__FRAME__BODY__CASE)
 } Aw__Frame__BodyCase;
 
@@ -1838,6 +1943,7 @@
     Aw__Heartbeats *heartbeats;
     Aw__ReadIndex *read_index;
     Aw__ReadIndexReply *read_index_reply;
+    Aw__CrashNews *crash_news;
   };
 };
 #define AW__FRAME__INIT \
@@ -2548,6 +2654,25 @@
 void   aw__op_departure__free_unpacked
                      (Aw__OpDeparture *message,
                       ProtobufCAllocator *allocator);
+/* Aw__QuarantineRecord methods */
+void   aw__quarantine_record__init
+                     (Aw__QuarantineRecord         *message);
+size_t aw__quarantine_record__get_packed_size
+                     (const Aw__QuarantineRecord   *message);
+size_t aw__quarantine_record__pack
+                     (const Aw__QuarantineRecord   *message,
+                      uint8_t             *out);
+size_t aw__quarantine_record__pack_to_buffer
+                     (const Aw__QuarantineRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Aw__QuarantineRecord *
+       aw__quarantine_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   aw__quarantine_record__free_unpacked
+                     (Aw__QuarantineRecord *message,
+                      ProtobufCAllocator *allocator);
 /* Aw__OpNoop methods */
 void   aw__op_noop__init
                      (Aw__OpNoop         *message);
@@ -3042,6 +3167,25 @@
 void   aw__crash_report__free_unpacked
                      (Aw__CrashReport *message,
                       ProtobufCAllocator *allocator);
+/* Aw__AnswerReport methods */
+void   aw__answer_report__init
+                     (Aw__AnswerReport         *message);
+size_t aw__answer_report__get_packed_size
+                     (const Aw__AnswerReport   *message);
+size_t aw__answer_report__pack
+                     (const Aw__AnswerReport   *message,
+                      uint8_t             *out);
+size_t aw__answer_report__pack_to_buffer
+                     (const Aw__AnswerReport   *message,
+                      ProtobufCBuffer     *buffer);
+Aw__AnswerReport *
+       aw__answer_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   aw__answer_report__free_unpacked
+                     (Aw__AnswerReport *message,
+                      ProtobufCAllocator *allocator);
 /* Aw__Report methods */
 void   aw__report__init
                      (Aw__Report         *message);
@@ -3080,6 +3224,25 @@
 void   aw__quarantine__free_unpacked
                      (Aw__Quarantine *message,
                       ProtobufCAllocator *allocator);
+/* Aw__CrashNews methods */
+void   aw__crash_news__init
+                     (Aw__CrashNews         *message);
+size_t aw__crash_news__get_packed_size
+                     (const Aw__CrashNews   *message);
+size_t aw__crash_news__pack
+                     (const Aw__CrashNews   *message,
+                      uint8_t             *out);
+size_t aw__crash_news__pack_to_buffer
+                     (const Aw__CrashNews   *message,
+                      ProtobufCBuffer     *buffer);
+Aw__CrashNews *
+       aw__crash_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   aw__crash_news__free_unpacked
+                     (Aw__CrashNews *message,
+                      ProtobufCAllocator *allocator);
 /* Aw__Grant methods */
 void   aw__grant__init
                      (Aw__Grant         *message);
@@ -3554,6 +3717,9 @@
 typedef void (*Aw__OpDeparture_Closure)
                  (const Aw__OpDeparture *message,
                   void *closure_data);
+typedef void (*Aw__QuarantineRecord_Closure)
+                 (const Aw__QuarantineRecord *message,
+                  void *closure_data);
 typedef void (*Aw__OpNoop_Closure)
                  (const Aw__OpNoop *message,
                   void *closure_data);
@@ -3632,12 +3798,18 @@
 typedef void (*Aw__CrashReport_Closure)
                  (const Aw__CrashReport *message,
                   void *closure_data);
+typedef void (*Aw__AnswerReport_Closure)
+                 (const Aw__AnswerReport *message,
+                  void *closure_data);
 typedef void (*Aw__Report_Closure)
                  (const Aw__Report *message,
                   void *closure_data);
 typedef void (*Aw__Quarantine_Closure)
                  (const Aw__Quarantine *message,
                   void *closure_data);
+typedef void (*Aw__CrashNews_Closure)
+                 (const Aw__CrashNews *message,
+                  void *closure_data);
 typedef void (*Aw__Grant_Closure)
                  (const Aw__Grant *message,
                   void *closure_data);
@@ -3709,6 +3881,7 @@
 extern const ProtobufCEnumDescriptor    aw__instance_state__descriptor;
 extern const ProtobufCEnumDescriptor    aw__server_state__descriptor;
 extern const ProtobufCEnumDescriptor    aw__bucket_kind__descriptor;
+extern const ProtobufCEnumDescriptor    aw__quarantine_state__descriptor;
 extern const ProtobufCEnumDescriptor    aw__slot_end_kind__descriptor;
 extern const ProtobufCEnumDescriptor    aw__propose_status__descriptor;
 extern const ProtobufCEnumDescriptor    aw__role__descriptor;
@@ -3749,6 +3922,7 @@
 extern const ProtobufCMessageDescriptor aw__op_claim_release__descriptor;
 extern const ProtobufCMessageDescriptor aw__op_zone__descriptor;
 extern const ProtobufCMessageDescriptor aw__op_departure__descriptor;
+extern const ProtobufCMessageDescriptor aw__quarantine_record__descriptor;
 extern const ProtobufCMessageDescriptor aw__op_noop__descriptor;
 extern const ProtobufCMessageDescriptor aw__op__descriptor;
 extern const ProtobufCMessageDescriptor aw__op_result__descriptor;
@@ -3775,8 +3949,10 @@
 extern const ProtobufCMessageDescriptor aw__slot_demand__descriptor;
 extern const ProtobufCMessageDescriptor aw__slot_grant__descriptor;
 extern const ProtobufCMessageDescriptor aw__crash_report__descriptor;
+extern const ProtobufCMessageDescriptor aw__answer_report__descriptor;
 extern const ProtobufCMessageDescriptor aw__report__descriptor;
 extern const ProtobufCMessageDescriptor aw__quarantine__descriptor;
+extern const ProtobufCMessageDescriptor aw__crash_news__descriptor;
 extern const ProtobufCMessageDescriptor aw__grant__descriptor;
 extern const ProtobufCMessageDescriptor aw__subscribe__descriptor;
 extern const ProtobufCMessageDescriptor aw__rate_share__descriptor;
--- a/almondward/control_cluster.c
+++ b/almondward/control_cluster.c
@@ -10,6 +10,7 @@
 
 #include "log.h"
 #include "message.h"
+#include "quarantine.h"
 
 /* How often the addresses of control instances are compared with the voters. */
 #define JOIN_INTERVAL_MS 200
@@ -66,6 +67,7 @@
 		message_free(cluster->changes[i].change);
 	message_free(cluster->stripped);
 	share_pool_destroy(cluster->shares);
+	quar_destroy(cluster->quar);
 	topo_destroy(cluster->topo);
 	while (ctl->controls) {
 		struct ctl_control *at = ctl->controls;
@@ -275,9 +277,11 @@
 	for (i = 0; i < heartbeats->n_servers; i++) {
 		const Aw__Server *server = heartbeats->servers[i];
 
-		if (!fleet_has_departed(ctl->fleet, server->id,
-					server->incarnation))
-			topo_heartbeat(ctl->cluster->topo, server);
+		if (fleet_has_departed(ctl->fleet, server->id,
+				       server->incarnation))
+			continue;
+		ctl_crashes_heard(ctl, server);
+		topo_heartbeat(ctl->cluster->topo, server);
 	}
 }
 
@@ -298,6 +302,9 @@
 	case AW__FRAME__BODY_RATE_REPORT:
 		ctl_feed_rates(ctl, link, frame->rate_report);
 		return true;
+	case AW__FRAME__BODY_CRASH_NEWS:
+		ctl_crashes_news(ctl, frame->crash_news);
+		return true;
 	case AW__FRAME__BODY_FEED:
 		if (control && link == ctl->cluster->leader_link)
 			ctl_feed_follow(ctl, frame->feed);
@@ -384,7 +391,7 @@
 	drop_heartbeats(cluster);
 	share_pool_destroy(cluster->shares);
 	cluster->shares = share_pool_create(ctl->clk);
-	if (!cluster->shares) {
+	if (!cluster->shares || ctl_crashes_lead(ctl)) {
 		ctl_fail(ctl, "no memory for the state of a leader");
 		return;
 	}
@@ -406,6 +413,8 @@
 		topo_tick(cluster->topo);
 		if (cluster->shares)
 			share_pool_tick(cluster->shares);
+		if (cluster->quar)
+			ctl_crashes_tick(ctl);
 		ctl_feed_tick(ctl);
 	} else {
 		if (cluster->led_term) {
--- a/almondward/control_cluster.h
+++ b/almondward/control_cluster.h
@@ -68,6 +68,10 @@
 	uint64_t fed_version;
 	uint64_t subscribe_ms; /* when the leader was asked last */
 	bool fed; /* by the leader link in use */
+	/* Requests that crash servers, while leading. */
+	struct quar *quar;
+	uint64_t seen_quarantines; /* version that is recorded */
+	uint32_t nr_quarantine_ops; /* under way */
 	uint64_t joined_ms; /* when the addresses were last looked at */
 };
 
@@ -106,6 +110,18 @@
 void ctl_feed_follow(struct ctl *ctl, const Aw__Feed *feed);
 void ctl_feed_follower_tick(struct ctl *ctl);
 
+/* ---- control_crashes.c ---- */
+
+int ctl_crashes_lead(struct ctl *ctl);
+void ctl_crashes_tick(struct ctl *ctl);
+void ctl_crashes_news(struct ctl *ctl, const Aw__CrashNews *news);
+/* A heartbeat, before the table takes it. */
+void ctl_crashes_heard(struct ctl *ctl, const Aw__Server *server);
+uint64_t ctl_crashes_version(const struct ctl *ctl);
+/* Returns -1 when memory is exhausted. */
+int ctl_crashes_fill(struct ctl *ctl, Aw__Feed *feed);
+void ctl_crashes_release(Aw__Feed *feed);
+
 /* ---- control_service.c ---- */
 
 int ctl_service_open(struct ctl *ctl);
--- a/almondward/control_feed.c
+++ b/almondward/control_feed.c
@@ -192,6 +192,10 @@
 		failed |= !fill_lists(ctl, &feed);
 		news = true;
 	}
+	if (entry && at->fed_quarantines != ctl_crashes_version(ctl)) {
+		failed |= ctl_crashes_fill(ctl, &feed) != 0;
+		news = true;
+	}
 	frame.body_case = AW__FRAME__BODY_FEED;
 	frame.feed = &feed;
 	if (news && (failed || peer_send(at->link, &frame))) {
@@ -200,7 +204,9 @@
 		at->fed_plan_index = entry ? feed.plan_index : 0;
 		at->fed_table_version = topo_version(cluster->topo);
 		at->fed_lists_version = cluster->lists_version;
+		at->fed_quarantines = ctl_crashes_version(ctl);
 	}
+	ctl_crashes_release(&feed);
 	free(feed.controls);
 	topo_feed_release(&feed);
 }
@@ -256,6 +262,7 @@
 		at->fed_table_version = same ? subscribe->known_table_version :
 					       0;
 		at->fed_lists_version = 0;
+		at->fed_quarantines = 0;
 	}
 	at->subscribed = true;
 	feed_link(ctl, at);
--- a/almondward/control_internal.h
+++ b/almondward/control_internal.h
@@ -57,6 +57,7 @@
 	uint64_t fed_plan_index;
 	uint64_t fed_table_version;
 	uint64_t fed_lists_version;
+	uint64_t fed_quarantines;
 	struct ctl_link *prev, *next;
 };
 
--- a/almondward/control_service.c
+++ b/almondward/control_service.c
@@ -349,6 +349,7 @@
 			      "no leader can be reached");
 		return;
 	}
+	ctl_crashes_heard(ctl, server);
 	taken = topo_heartbeat(ctl->cluster->topo, server);
 	if (taken == TOPO_INVALID || taken == TOPO_ERR_MEMORY) {
 		event_log(EVENT_HEARTBEAT, "server=%s reason=%s", server->id,
--- a/almondward/control_soft.c
+++ b/almondward/control_soft.c
@@ -49,7 +49,7 @@
 	soft->tokens = alloc_tokens_create(clk, term);
 	soft->slots = alloc_slots_create(clk, term);
 	soft->reg = reg_create(clk, first_version);
-	soft->quar = quar_create(clk, 0);
+	soft->quar = quar_create(clk, 0, &quar_leased);
 	soft->drains = drain_create();
 	if (!soft->tokens || !soft->slots || !soft->reg || !soft->quar ||
 	    !soft->drains) {
--- /dev/null
+++ b/almondward/crashes.c
@@ -0,0 +1,487 @@
+#include "crashes.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "hash.h"
+
+/* Requests of this instance that may be suspected at one time. */
+#define OWN_REQUESTS_MAX 1000
+/* Answers that are remembered: those of QUAR_HARMLESS_MS at 60 a second, if no
+ * two have the same place. */
+#define ANSWERED_MAX 4096
+
+struct report {
+	uint8_t fingerprint[HASH_BYTES];
+	char server_id[NAME_BYTES_MAX];
+	char address[ADDRESS_BYTES_MAX];
+	char zone[NAME_BYTES_MAX];
+	uint64_t incarnation;
+	uint64_t at_ms;
+	uint32_t took_ms;
+	bool cold;
+	bool ended;
+	bool is_news;
+};
+
+struct answer {
+	uint8_t fingerprint[HASH_BYTES];
+	uint64_t at_ms;
+};
+
+/* An answered request; the table keeps one for each value of its hash. */
+struct answered {
+	uint64_t hash;
+	uint64_t at_ms;
+};
+
+struct listed {
+	uint8_t fingerprint[HASH_BYTES];
+	enum quar_state state; /* by the leader; QUAR_NONE: own trial only */
+	uint64_t until_ms;
+	uint64_t last_ms; /* when a server was last lost */
+	uint64_t used_turn; /* in which a trial was sent */
+	bool is_named; /* in the list that is being taken */
+	UT_hash_handle hh;
+};
+
+struct crs {
+	struct clk *clk;
+	struct quar *own;
+	struct report reports[CRS_REPORTS_MAX]; /* ring */
+	size_t nr_reports;
+	size_t next_report;
+	struct answer answers[CRS_ANSWERS_MAX];
+	size_t nr_answers;
+	struct answered answered[ANSWERED_MAX];
+	struct listed *listed;
+	/* Of the news. */
+	Aw__CrashReport crash_messages[CRS_REPORTS_MAX];
+	Aw__CrashReport *crash_list[CRS_REPORTS_MAX];
+	Aw__AnswerReport answer_messages[CRS_ANSWERS_MAX];
+	Aw__AnswerReport *answer_list[CRS_ANSWERS_MAX];
+};
+
+struct crs *crs_create(struct clk *clk)
+{
+	struct crs *crs = calloc(1, sizeof(*crs));
+	struct quar_limits limits = quar_seeded;
+
+	if (!crs)
+		return NULL;
+	limits.requests_max = OWN_REQUESTS_MAX;
+	crs->clk = clk;
+	crs->own = quar_create(clk, 1, &limits);
+	if (crs->own)
+		return crs;
+	free(crs);
+	return NULL;
+}
+
+static void forget(struct crs *crs, struct listed *at)
+{
+	HASH_DEL(crs->listed, at);
+	free(at);
+}
+
+void crs_destroy(struct crs *crs)
+{
+	if (!crs)
+		return;
+	while (crs->listed)
+		forget(crs, crs->listed);
+	quar_destroy(crs->own);
+	free(crs);
+}
+
+/* ---- answered requests ---- */
+
+static struct answered *answered_at(struct crs *crs, const uint8_t *fingerprint,
+				    uint64_t *hash)
+{
+	memcpy(hash, fingerprint, sizeof(*hash));
+	return &crs->answered[*hash % ANSWERED_MAX];
+}
+
+/*
+ * 0: not known to have been answered.
+ */
+static uint64_t when_answered(struct crs *crs, const uint8_t *fingerprint)
+{
+	uint64_t hash;
+	const struct answered *at = answered_at(crs, fingerprint, &hash);
+
+	return at->hash == hash ? at->at_ms : 0;
+}
+
+static struct listed *find_listed(const struct crs *crs,
+				  const uint8_t *fingerprint)
+{
+	struct listed *at;
+
+	HASH_FIND(hh, crs->listed, fingerprint, HASH_BYTES, at);
+	return at;
+}
+
+static void drop_reports(struct crs *crs, const uint8_t *fingerprint)
+{
+	size_t i;
+
+	for (i = 0; i < crs->nr_reports; i++)
+		if (!memcmp(crs->reports[i].fingerprint, fingerprint,
+			    HASH_BYTES))
+			crs->reports[i].at_ms = 0;
+}
+
+static void tell_answer(struct crs *crs, const uint8_t *fingerprint,
+			uint64_t at_ms)
+{
+	struct answer *to;
+	size_t i;
+
+	for (i = 0; i < crs->nr_answers; i++)
+		if (!memcmp(crs->answers[i].fingerprint, fingerprint,
+			    HASH_BYTES))
+			break;
+	if (i == CRS_ANSWERS_MAX)
+		return;
+	to = &crs->answers[i];
+	memcpy(to->fingerprint, fingerprint, HASH_BYTES);
+	to->at_ms = at_ms;
+	if (i == crs->nr_answers)
+		crs->nr_answers++;
+}
+
+void crs_answered(struct crs *crs, const uint8_t fingerprint[HASH_BYTES])
+{
+	uint64_t hash;
+	struct answered *at = answered_at(crs, fingerprint, &hash);
+	const struct listed *listed = find_listed(crs, fingerprint);
+
+	at->hash = hash;
+	at->at_ms = clk_now_ms(crs->clk);
+	if (!quar_knows(crs->own, fingerprint) && !(listed && listed->state))
+		return;
+	quar_answered(crs->own, fingerprint, 0);
+	drop_reports(crs, fingerprint);
+	tell_answer(crs, fingerprint, at->at_ms);
+}
+
+/* ---- broken connections ---- */
+
+/*
+ * Copies of a request that ran on one server break together.
+ */
+static bool is_reported(const struct crs *crs, const struct crs_break *broke)
+{
+	size_t i;
+
+	for (i = 0; i < crs->nr_reports; i++) {
+		const struct report *at = &crs->reports[i];
+
+		if (at->at_ms && at->incarnation == broke->incarnation &&
+		    !memcmp(at->fingerprint, broke->fingerprint, HASH_BYTES) &&
+		    !strcmp(at->address, broke->address))
+			return true;
+	}
+	return false;
+}
+
+static struct report *add_report(struct crs *crs)
+{
+	struct report *to = &crs->reports[crs->next_report];
+
+	crs->next_report = (crs->next_report + 1) % CRS_REPORTS_MAX;
+	if (crs->nr_reports < CRS_REPORTS_MAX)
+		crs->nr_reports++;
+	return to;
+}
+
+static void fill_message(const struct crs *crs, const struct report *from,
+			 Aw__CrashReport *to)
+{
+	aw__crash_report__init(to);
+	to->fingerprint.data = (uint8_t *)from->fingerprint;
+	to->fingerprint.len = HASH_BYTES;
+	to->server_address = (char *)from->address;
+	to->server_incarnation = from->incarnation;
+	to->age_ms = (uint32_t)(clk_now_ms(crs->clk) - from->at_ms);
+	to->took_ms = from->took_ms;
+	to->ended = from->ended;
+	to->cold = from->cold;
+	to->server_id = (char *)from->server_id;
+	to->zone = (char *)from->zone;
+}
+
+bool crs_broke(struct crs *crs, const struct crs_break *broke)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk);
+	uint64_t answered_ms = when_answered(crs, broke->fingerprint);
+	bool harmless = answered_ms && now_ms <= answered_ms + QUAR_HARMLESS_MS;
+	Aw__CrashReport message;
+	struct report *to;
+
+	if (answered_ms && now_ms <= answered_ms + QUAR_ANSWERED_MS)
+		return false;
+	if (is_reported(crs, broke))
+		return true;
+	to = add_report(crs);
+	memcpy(to->fingerprint, broke->fingerprint, HASH_BYTES);
+	snprintf(to->server_id, sizeof(to->server_id), "%s", broke->server_id);
+	snprintf(to->address, sizeof(to->address), "%s", broke->address);
+	snprintf(to->zone, sizeof(to->zone), "%s", broke->zone);
+	to->incarnation = broke->incarnation;
+	to->at_ms = now_ms;
+	to->took_ms = broke->took_ms;
+	to->cold = broke->cold;
+	to->ended = false;
+	to->is_news = true;
+	fill_message(crs, to, &message);
+	/* Without memory only the leader counts it. */
+	quar_crash(crs->own, &message, to->zone);
+	if (harmless) {
+		quar_answered(crs->own, broke->fingerprint,
+			      (uint32_t)(now_ms - answered_ms));
+		tell_answer(crs, broke->fingerprint, answered_ms);
+	}
+	return true;
+}
+
+void crs_ended(struct crs *crs, const char *address, uint64_t incarnation)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk);
+	size_t i;
+
+	quar_ended(crs->own, address, incarnation);
+	for (i = 0; i < crs->nr_reports; i++) {
+		struct report *at = &crs->reports[i];
+
+		if (!at->at_ms || at->ended || at->incarnation != incarnation ||
+		    now_ms >= at->at_ms + QUAR_END_KNOWN_MS ||
+		    strcmp(at->address, address) != 0)
+			continue;
+		at->ended = true;
+		at->is_news = true;
+	}
+}
+
+/* ---- the list of the leader ---- */
+
+static struct listed *get_listed(struct crs *crs, const uint8_t *fingerprint)
+{
+	struct listed *at = find_listed(crs, fingerprint);
+
+	if (at)
+		return at;
+	at = calloc(1, sizeof(*at));
+	if (!at)
+		return NULL;
+	memcpy(at->fingerprint, fingerprint, HASH_BYTES);
+	HASH_ADD(hh, crs->listed, fingerprint, HASH_BYTES, at);
+	return at;
+}
+
+static enum quar_state read_state(Aw__QuarantineState state)
+{
+	switch (state) {
+	case AW__QUARANTINE_STATE__QUARANTINE_WATCHED:
+		return QUAR_WATCHED;
+	case AW__QUARANTINE_STATE__QUARANTINE_TRIAL:
+		return QUAR_TRIAL;
+	default:
+		return QUAR_REFUSED;
+	}
+}
+
+static int take_listed(struct crs *crs, const Aw__Quarantine *from)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk), answered_ms, first_ms;
+	struct listed *at;
+
+	if (from->fingerprint.len != HASH_BYTES)
+		return 0;
+	at = get_listed(crs, from->fingerprint.data);
+	if (!at)
+		return -1;
+	at->is_named = true;
+	at->state = read_state(from->state);
+	at->until_ms = now_ms + (from->expires_in_ms < QUARANTINE_MS ?
+					 from->expires_in_ms :
+					 QUARANTINE_MS);
+	at->last_ms = from->last_age_ms < now_ms ? now_ms - from->last_age_ms :
+						   0;
+	answered_ms = when_answered(crs, at->fingerprint);
+	first_ms = from->first_age_ms < now_ms ? now_ms - from->first_age_ms :
+						 0;
+	if (answered_ms && answered_ms + QUAR_HARMLESS_MS >= first_ms)
+		tell_answer(crs, at->fingerprint, answered_ms);
+	return 0;
+}
+
+int crs_follow(struct crs *crs, const Aw__Feed *feed)
+{
+	struct listed *at, *next;
+	size_t i;
+
+	HASH_ITER(hh, crs->listed, at, next)
+	{
+		at->is_named = false;
+	}
+	for (i = 0; i < feed->n_quarantines && i < CRS_LISTED_MAX; i++)
+		if (take_listed(crs, feed->quarantines[i]))
+			return -1;
+	HASH_ITER(hh, crs->listed, at, next)
+	{
+		if (!at->is_named && at->state)
+			forget(crs, at);
+	}
+	return 0;
+}
+
+/* ---- decisions ---- */
+
+bool crs_is_needed(const struct crs *crs)
+{
+	return crs->listed || quar_nr_requests(crs->own);
+}
+
+/*
+ * Place in an order of the instances that is another one for each request.
+ */
+static size_t place_of(const struct crs_place *place,
+		       const uint8_t *fingerprint)
+{
+	uint64_t seed, own;
+	size_t i, before = 0;
+
+	memcpy(&seed, fingerprint, sizeof(seed));
+	own = hash_mix(hash_text(place->instance) ^ seed);
+	for (i = 0; i < place->nr_instances; i++)
+		before += hash_mix(hash_text(place->instances[i]->name) ^
+				   seed) < own;
+	return before;
+}
+
+/*
+ * Instances take turns, so that one sending at a time shows whether the request
+ * crashes its server.
+ */
+static bool take_trial(struct crs *crs, const uint8_t *fingerprint,
+		       const struct crs_place *place, uint64_t last_ms)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk), turn;
+	struct listed *at;
+
+	if (now_ms < last_ms + QUAR_TRIAL_MS)
+		return false;
+	turn = (now_ms - last_ms - QUAR_TRIAL_MS) / CRS_TURN_MS;
+	if (place->nr_instances &&
+	    turn % place->nr_instances != place_of(place, fingerprint))
+		return false;
+	at = get_listed(crs, fingerprint);
+	if (!at)
+		return false;
+	/* Names the turn also when the times of loss change. */
+	turn += last_ms / CRS_TURN_MS + 1;
+	if (at->used_turn == turn)
+		return false;
+	at->used_turn = turn;
+	if (!at->state)
+		at->until_ms = now_ms + QUAR_TRIAL_MS;
+	return true;
+}
+
+void crs_judge(struct crs *crs, const uint8_t fingerprint[HASH_BYTES],
+	       const struct crs_place *place, struct crs_verdict *verdict)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk), own_ms = 0, last_ms = 0;
+	const struct listed *at = find_listed(crs, fingerprint);
+	enum quar_state own = quar_state(crs->own, fingerprint, &own_ms);
+
+	*verdict = (struct crs_verdict){ .state = QUAR_NONE };
+	if (at && now_ms < at->until_ms && at->state) {
+		verdict->state = at->state;
+		verdict->retry_after_ms = (uint32_t)(at->until_ms - now_ms);
+		last_ms = at->last_ms;
+	}
+	if (own > verdict->state &&
+	    (!place->in_touch || now_ms < own_ms + CRS_OWN_MS)) {
+		verdict->state = own;
+		verdict->retry_after_ms = QUAR_TRIAL_MS;
+	}
+	if (own_ms > last_ms)
+		last_ms = own_ms;
+	if (verdict->state != QUAR_TRIAL)
+		return;
+	if (take_trial(crs, fingerprint, place, last_ms))
+		return;
+	verdict->state = QUAR_REFUSED;
+	verdict->retry_after_ms = CRS_TURN_MS;
+}
+
+/* ---- news for the leader ---- */
+
+bool crs_news(struct crs *crs, Aw__CrashNews *news)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk);
+	size_t i;
+
+	aw__crash_news__init(news);
+	news->crashes = crs->crash_list;
+	news->answers = crs->answer_list;
+	for (i = 0; i < crs->nr_reports; i++) {
+		const struct report *from = &crs->reports[i];
+		size_t nr = news->n_crashes;
+
+		if (!from->is_news || !from->at_ms ||
+		    now_ms >= from->at_ms + QUARANTINE_MS)
+			continue;
+		fill_message(crs, from, &crs->crash_messages[nr]);
+		crs->crash_list[nr] = &crs->crash_messages[nr];
+		news->n_crashes++;
+	}
+	for (i = 0; i < crs->nr_answers; i++) {
+		Aw__AnswerReport *to = &crs->answer_messages[i];
+
+		aw__answer_report__init(to);
+		to->fingerprint.data = crs->answers[i].fingerprint;
+		to->fingerprint.len = HASH_BYTES;
+		to->age_ms = (uint32_t)(now_ms - crs->answers[i].at_ms);
+		crs->answer_list[i] = to;
+	}
+	news->n_answers = crs->nr_answers;
+	return news->n_crashes || news->n_answers;
+}
+
+void crs_news_sent(struct crs *crs)
+{
+	size_t i;
+
+	crs->nr_answers = 0;
+	for (i = 0; i < crs->nr_reports; i++)
+		crs->reports[i].is_news = false;
+}
+
+void crs_tell_again(struct crs *crs)
+{
+	size_t i;
+
+	for (i = 0; i < crs->nr_reports; i++)
+		crs->reports[i].is_news = true;
+}
+
+void crs_tick(struct crs *crs)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk);
+	struct listed *at, *next;
+
+	quar_tick(crs->own);
+	HASH_ITER(hh, crs->listed, at, next)
+	{
+		if (now_ms >= at->until_ms)
+			forget(crs, at);
+	}
+}
--- a/almondward/event.c
+++ b/almondward/event.c
@@ -22,7 +22,7 @@
 	[EVENT_ZONE] = "zone",	       [EVENT_SERVER] = "server",
 	[EVENT_INSTANCE] = "instance", [EVENT_LEADER] = "leader",
 	[EVENT_SHARE] = "share",       [EVENT_HEARTBEAT] = "heartbeat",
-	[EVENT_READ] = "read",
+	[EVENT_READ] = "read",	       [EVENT_CRASH] = "crash",
 };
 
 struct rate {
--- a/almondward/event.h
+++ b/almondward/event.h
@@ -41,6 +41,7 @@
 	EVENT_SHARE, /* a customer's share ran out */
 	EVENT_HEARTBEAT, /* refused */
 	EVENT_READ, /* a read of the plan that was refused */
+	EVENT_CRASH, /* a server ended, or a request is suspected of that */
 	EVENT_COUNT
 };
 
--- a/almondward/fleet.c
+++ b/almondward/fleet.c
@@ -80,6 +80,7 @@
 	fleet_claims_clear(fleet);
 	fleet_results_clear(fleet);
 	fleet_service_clear(fleet);
+	fleet_quarantines_clear(fleet);
 	message_free(fleet->config);
 }
 
@@ -131,6 +132,8 @@
 		return fleet_zone(fleet, index, op->zone, result);
 	case AW__OP__BODY_DEPARTURE:
 		return fleet_departure(fleet, index, op->departure, result);
+	case AW__OP__BODY_QUARANTINE:
+		return fleet_quarantine(fleet, op->quarantine, result);
 	default:
 		return fleet_set(result, AW__OP_CODE__OP_INVALID,
 				 "the operation is unknown");
@@ -215,6 +218,7 @@
 	if (op->time_ms > fleet->time_ms)
 		fleet->time_ms = op->time_ms;
 	fleet_claims_expire(fleet);
+	fleet_quarantines_expire(fleet);
 	if (is_operator_change(op))
 		error = change(fleet, index, op, result);
 	else
@@ -334,6 +338,8 @@
 	fill_common(fleet, &state);
 	fleet_service_fill(fleet, &state, &lists);
 	state.time_ms = fleet->time_ms;
+	state.quarantines = fleet->quarantines;
+	state.n_quarantines = fleet->nr_quarantines;
 	state.claims =
 		calloc(HASH_COUNT(fleet->claims) + 1, sizeof(Aw__Claim *));
 	state.results = calloc(HASH_COUNT(fleet->results) + 1,
@@ -382,6 +388,9 @@
 		state->results[i] = NULL;
 	}
 	error = fleet_service_load(fleet, state);
+	if (error)
+		return error;
+	error = fleet_quarantines_load(fleet, state);
 	if (error)
 		return error;
 	fleet->applied_index = state->applied_index;
--- a/almondward/fleet.h
+++ b/almondward/fleet.h
@@ -78,6 +78,13 @@
 bool fleet_has_departed(const struct fleet *fleet, const char *server_id,
 			uint64_t incarnation);
 
+/*
+ * Requests that crash servers, with the replicated time at which that ends.
+ * Valid until the next apply or load.
+ */
+const Aw__QuarantineRecord *const *fleet_quarantines(const struct fleet *fleet,
+						     size_t *nr);
+
 /*
  * Log index of the last change of the plan or of the evacuated zones.
  */
--- a/almondward/fleet_state.h
+++ b/almondward/fleet_state.h
@@ -61,6 +61,8 @@
 	size_t nr_zones;
 	struct fleet_departure *departures; /* by server id */
 	uint64_t service_index; /* of the last change of plan or zones */
+	Aw__QuarantineRecord **quarantines; /* oldest first */
+	size_t nr_quarantines;
 };
 
 /* fleet.c */
@@ -141,6 +143,18 @@
 enum fleet_error fleet_departure(struct fleet *fleet, uint64_t index,
 				 const Aw__OpDeparture *op,
 				 Aw__OpResult *result);
+
+/* fleet_quarantine.c */
+enum fleet_error fleet_quarantine(struct fleet *fleet,
+				  const Aw__QuarantineRecord *op,
+				  Aw__OpResult *result);
+void fleet_quarantines_expire(struct fleet *fleet);
+/* Takes the records over. */
+enum fleet_error fleet_quarantines_load(struct fleet *fleet,
+					Aw__FleetState *state);
+void fleet_quarantines_clear(struct fleet *fleet);
+
+/* fleet_service.c */
 /* Arrays for a FleetState that refers to the state. */
 struct fleet_service_lists {
 	ProtobufCBinaryData *digests;
--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -140,6 +140,7 @@
 		gw_backend_tick(gw);
 		steer_tick(gw->steer);
 		coord_tick(gw->slots.coord);
+		gw_crash_tick(gw);
 	}
 	if (gw->stop_ms)
 		run_stop(gw);
@@ -275,7 +276,8 @@
 			&gw->ready) ||
 	    open_server(gw, cluster->listen_metrics, on_metrics,
 			CONNECTIONS_MAX, &gw->metrics) ||
-	    gw_link_open(gw) || gw_slots_open(gw) || open_gossip(gw))
+	    gw_link_open(gw) || gw_slots_open(gw) || gw_crash_open(gw) ||
+	    open_gossip(gw))
 		return -1;
 	if (loop_on_stop_signal(gw->loop, on_stop, gw) ||
 	    loop_on_reload_signal(gw->loop, on_reload, gw))
@@ -316,6 +318,7 @@
 	gw_link_close(gw);
 	gossip_destroy(gw->gossip);
 	gw_slots_close(gw);
+	gw_crash_close(gw);
 	steer_destroy(gw->steer);
 	topo_destroy(gw->topo);
 	plan_destroy(gw->plan);
--- /dev/null
+++ b/almondward/gateway_crashes.c
@@ -0,0 +1,209 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "fingerprint.h"
+#include "gateway_internal.h"
+
+/*
+ * Requests that crash servers: finds out whether a server has ended, and
+ * exchanges with the leader what crashes.c decides by.
+ */
+
+/* As long as connections to servers get, see gateway_backend.c. */
+#define PROBE_TIMEOUT_MS 700
+/* A process that ends may close its connections before it stops listening. */
+#define PROBE_AGAIN_MS 500
+#define PROBES_MAX 64
+
+/* Asks whether anything listens at the address of a server. */
+struct gw_probe {
+	struct gw *gw;
+	struct loop_probe *probe; /* NULL: waits to ask again */
+	char server_id[NAME_BYTES_MAX];
+	char address[ADDRESS_BYTES_MAX];
+	uint64_t incarnation;
+	uint64_t again_ms; /* 0: this is the second time */
+	struct gw_probe *prev, *next;
+};
+
+static void forget(struct gw_probe *at)
+{
+	struct gw *gw = at->gw;
+
+	loop_probe_destroy(at->probe);
+	DL_DELETE(gw->probes, at);
+	gw->nr_probes--;
+	free(at);
+}
+
+void gw_crash_tell(struct gw *gw)
+{
+	Aw__CrashNews news;
+	Aw__Frame frame = AW__FRAME__INIT;
+
+	if (!gw->leader_link || !gw->fed || !crs_news(gw->crs, &news))
+		return;
+	frame.body_case = AW__FRAME__BODY_CRASH_NEWS;
+	frame.crash_news = &news;
+	if (peer_send(gw->leader_link, &frame)) {
+		gw_count(gw, "send_failed", "crash_news");
+		return;
+	}
+	crs_news_sent(gw->crs);
+}
+
+static void process_ended(struct gw *gw, const char *server_id,
+			  const char *address, uint64_t incarnation)
+{
+	gw_count(gw, "servers_ended", "");
+	event_log(EVENT_CRASH, "server=%s address=%s outcome=ended", server_id,
+		  address);
+	crs_ended(gw->crs, address, incarnation);
+	gw_crash_tell(gw);
+}
+
+static void start_probe(struct gw_probe *at);
+
+static void on_probed(void *arg, enum loop_probe_result result)
+{
+	struct gw_probe *at = arg;
+	struct gw *gw = at->gw;
+
+	at->probe = NULL;
+	switch (result) {
+	case LOOP_PROBE_REFUSED:
+		process_ended(gw, at->server_id, at->address, at->incarnation);
+		break;
+	case LOOP_PROBE_ACCEPTED:
+		if (at->again_ms)
+			return;
+		break;
+	case LOOP_PROBE_NO_ANSWER:
+		break;
+	}
+	forget(at);
+}
+
+static void start_probe(struct gw_probe *at)
+{
+	struct gw *gw = at->gw;
+
+	gw_count(gw, "server_probes", "");
+	if (loop_probe(gw->loop, at->address, PROBE_TIMEOUT_MS, on_probed, at,
+		       &at->probe))
+		forget(at);
+}
+
+static void probe(struct gw *gw, const struct steer_server *server)
+{
+	const char *address = steer_server_address(server);
+	uint64_t incarnation = steer_server_incarnation(server);
+	struct gw_probe *at;
+
+	DL_FOREACH(gw->probes, at)
+	{
+		if (at->incarnation == incarnation &&
+		    !strcmp(at->address, address))
+			return;
+	}
+	at = gw->nr_probes < PROBES_MAX ? calloc(1, sizeof(*at)) : NULL;
+	if (!at) {
+		gw_count(gw, "server_probes_left_out", "");
+		return;
+	}
+	at->gw = gw;
+	at->incarnation = incarnation;
+	at->again_ms = gw_now_ms(gw) + PROBE_AGAIN_MS;
+	snprintf(at->server_id, sizeof(at->server_id), "%s",
+		 steer_server_id(server));
+	snprintf(at->address, sizeof(at->address), "%s", address);
+	DL_APPEND(gw->probes, at);
+	gw->nr_probes++;
+	start_probe(at);
+}
+
+void gw_crash_broke(struct gw *gw, const uint8_t fingerprint[HASH_BYTES],
+		    const struct steer_server *server, uint32_t took_ms)
+{
+	struct crs_break broke = {
+		.fingerprint = fingerprint,
+		.server_id = steer_server_id(server),
+		.address = steer_server_address(server),
+		.zone = steer_server_zone(server),
+		.incarnation = steer_server_incarnation(server),
+		.took_ms = took_ms,
+		.cold = steer_server_is_cold(gw->steer, server),
+	};
+	char text[FPR_TEXT_BYTES];
+	bool suspected;
+
+	/* It was going to end. */
+	if (steer_server_is_leaving(gw->steer, server))
+		return;
+	suspected = crs_broke(gw->crs, &broke);
+	event_log(EVENT_CRASH,
+		  "request=%s server=%s outcome=%s took_ms=%u cold=%s",
+		  fpr_text(fingerprint, text), broke.server_id,
+		  suspected ? "suspected" : "answered_lately", took_ms,
+		  broke.cold ? "true" : "false");
+	if (!suspected)
+		return;
+	gw_count(gw, "requests_suspected", "");
+	probe(gw, server);
+	gw_crash_tell(gw);
+}
+
+void gw_crash_replaced(struct gw *gw, const struct steer_server *server)
+{
+	if (crs_is_needed(gw->crs))
+		process_ended(gw, steer_server_id(server),
+			      steer_server_address(server),
+			      steer_server_incarnation(server));
+}
+
+void gw_crash_answered(struct gw *gw, const uint8_t fingerprint[HASH_BYTES])
+{
+	crs_answered(gw->crs, fingerprint);
+	gw_crash_tell(gw);
+}
+
+void gw_crash_judge(struct gw *gw, const uint8_t fingerprint[HASH_BYTES],
+		    struct crs_verdict *verdict)
+{
+	struct crs_place place = { .instance = gw->settings->name,
+				   .in_touch = gw->leader_link && gw->fed };
+
+	place.instances = topo_instances(gw->topo, &place.nr_instances);
+	crs_judge(gw->crs, fingerprint, &place, verdict);
+}
+
+void gw_crash_tick(struct gw *gw)
+{
+	struct gw_probe *at, *next;
+
+	crs_tick(gw->crs);
+	DL_FOREACH_SAFE(gw->probes, at, next)
+	{
+		if (at->probe || gw_now_ms(gw) < at->again_ms)
+			continue;
+		at->again_ms = 0;
+		start_probe(at);
+	}
+	gw_crash_tell(gw);
+}
+
+int gw_crash_open(struct gw *gw)
+{
+	gw->crs = crs_create(gw->clk);
+	return gw->crs ? 0 : -1;
+}
+
+void gw_crash_close(struct gw *gw)
+{
+	while (gw->probes)
+		forget(gw->probes);
+	crs_destroy(gw->crs);
+}
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -9,6 +9,7 @@
 #include "budget.h"
 #include "coord.h"
 #include "counter.h"
+#include "crashes.h"
 #include "event.h"
 #include "gateway.h"
 #include "gossip.h"
@@ -153,6 +154,10 @@
 	bool ask; /* tokens are to be asked for */
 	uint64_t ask_ms; /* when they were last asked for */
 
+	struct crs *crs; /* requests that crash servers */
+	struct gw_probe *probes;
+	size_t nr_probes;
+
 	uint64_t stop_ms; /* when the stop was asked for, 0: not */
 	/* Kept connections that were idle for longer may be forgotten. */
 	uint64_t idle_doubt_ms;
@@ -214,6 +219,22 @@
 		       const Aw__Datagram *datagram);
 void gw_slots_tick(struct gw *gw);
 
+/* ---- gateway_crashes.c ---- */
+
+int gw_crash_open(struct gw *gw);
+void gw_crash_close(struct gw *gw);
+void gw_crash_tick(struct gw *gw);
+/* The connection to the server broke after the request was sent. */
+void gw_crash_broke(struct gw *gw, const uint8_t fingerprint[HASH_BYTES],
+		    const struct steer_server *server, uint32_t took_ms);
+/* Another process has the address of the server. */
+void gw_crash_replaced(struct gw *gw, const struct steer_server *server);
+void gw_crash_answered(struct gw *gw, const uint8_t fingerprint[HASH_BYTES]);
+void gw_crash_judge(struct gw *gw, const uint8_t fingerprint[HASH_BYTES],
+		    struct crs_verdict *verdict);
+/* Tells the leader what it does not know. */
+void gw_crash_tell(struct gw *gw);
+
 /* ---- gateway_backend.c ---- */
 
 struct gw_backend;
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -157,6 +157,7 @@
 
 static void take_feed(struct gw *gw, const Aw__Feed *feed)
 {
+	bool is_first = !gw->fed;
 	size_t i, nr;
 
 	if (feed->term < gw->fed_term)
@@ -167,12 +168,16 @@
 	if (take_plan(gw, feed) || topo_follow(gw->topo, feed) ||
 	    (feed->lists_included && take_zones(gw, feed)) ||
 	    steer_sync(gw->steer, gw->topo, gw->plan, gw->evacuated_zones,
-		       gw->nr_evacuated_zones)) {
+		       gw->nr_evacuated_zones) ||
+	    (feed->quarantines_included && crs_follow(gw->crs, feed))) {
 		gw_fail(gw, "no memory for the state of the cluster");
 		return;
 	}
 	for (i = 0; i < feed->n_controls; i++)
 		add_control(gw, feed->controls[i]);
+	if (is_first)
+		crs_tell_again(gw->crs);
+	gw_crash_tell(gw);
 	topo_instances(gw->topo, &nr);
 	if (feed->n_servers || feed->n_removed_servers || feed->lists_included)
 		event_log(EVENT_SERVER,
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -44,6 +44,9 @@
 #define LEFT_MS_MAX 600000 /* without deadline and timeout */
 /* Callers wait out a refusal for lack of a plan or a server. */
 #define RETRY_AFTER_MS 500
+/* Fingerprints of larger bodies are made only when a request is suspected:
+ * bodies that are sent again and again are small. */
+#define SMALL_BODY_BYTES 4096
 
 struct gw_request {
 	struct gw *gw;
@@ -56,6 +59,9 @@
 	uint64_t plan_version;
 	uint32_t attempts_max;
 	bool has_token;
+	bool has_fingerprint;
+	bool is_trial; /* shows whether the request crashes its server */
+	uint8_t fingerprint[HASH_BYTES];
 	char **regions; /* copies: the plan may change meanwhile */
 	size_t nr_regions;
 	char **more_regions;
@@ -121,6 +127,9 @@
 				  "again." },
 	[REFUSAL_ANSWER_CUT] = { "whole_answers",
 				 "The answer of the server is not whole." },
+	[REFUSAL_CRASHES] = { "quarantine",
+			      "Servers ended under requests like this one; it "
+			      "was not sent to another." },
 	[REFUSAL_MEMORY] = { "memory", "The instance is out of memory." },
 };
 
@@ -431,11 +440,39 @@
 	}
 }
 
+static const uint8_t *fingerprint_of(struct gw_request *request)
+{
+	if (!request->has_fingerprint)
+		fpr_make(request->customer, request->req, NULL,
+			 request->fingerprint);
+	request->has_fingerprint = true;
+	return request->fingerprint;
+}
+
+/*
+ * Whether requests like this one crash servers. A trial is granted for one
+ * sending.
+ */
+static enum quar_state judge_crashes(struct gw_request *request,
+				     uint32_t *retry_after_ms)
+{
+	struct crs_verdict verdict;
+
+	if (request->is_trial || !crs_is_needed(request->gw->crs))
+		return QUAR_NONE;
+	gw_crash_judge(request->gw, fingerprint_of(request), &verdict);
+	request->is_trial = verdict.state == QUAR_TRIAL;
+	*retry_after_ms = verdict.retry_after_ms;
+	return verdict.state;
+}
+
 static bool may_send(void *arg)
 {
-	const struct gw_request *request = arg;
+	struct gw_request *request = arg;
+	uint32_t retry_after_ms;
 
-	return steer_may_send(request->gw->steer, request->choice.server);
+	return steer_may_send(request->gw->steer, request->choice.server) &&
+	       judge_crashes(request, &retry_after_ms) != QUAR_REFUSED;
 }
 
 static bool is_mine(void *arg, const struct http_response *response)
@@ -491,22 +528,21 @@
 	return false;
 }
 
-static void log_attempt(const struct gw_request *request,
-			enum steer_outcome outcome, const char *cause)
+static void log_attempt(struct gw_request *request, enum steer_outcome outcome,
+			const char *cause)
 {
 	char id[EVENT_TEXT_BYTES], print[FPR_TEXT_BYTES];
-	uint8_t fingerprint[HASH_BYTES];
 
 	gw_count(request->gw, "attempts", steer_outcome_name(outcome));
 	if (outcome == STEER_SUCCESS)
 		return;
-	fpr_make(request->customer, request->req, NULL, fingerprint);
 	event_log(EVENT_ATTEMPT,
 		  "id=%s request=%s server=%s upstream=%s outcome=%s cause=%s "
 		  "took_ms=%llu new_connection=%d load=%u/%u",
-		  id_text(request, id), fpr_text(fingerprint, print),
-		  steer_server_id(request->choice.server),
-		  request->upstream, steer_outcome_name(outcome), cause,
+		  id_text(request, id),
+		  fpr_text(fingerprint_of(request), print),
+		  steer_server_id(request->choice.server), request->upstream,
+		  steer_outcome_name(outcome), cause,
 		  (unsigned long long)(gw_now_ms(request->gw) -
 				       request->sending.sent_ms),
 		  request->over.is_new, request->choice.load,
@@ -533,6 +569,7 @@
 			    COORD_NOT_SENT :
 			    COORD_UNTOLD);
 	query->nr_asked = 0;
+	request->is_trial = false;
 	request->choice.server = NULL;
 	request->conn = NULL;
 }
@@ -578,6 +615,20 @@
 		       come_back_ms(request));
 }
 
+/*
+ * Servers ended under such requests: the next one is left to the caller.
+ */
+static bool is_watched(struct gw_request *request)
+{
+	uint32_t retry_after_ms;
+
+	if (judge_crashes(request, &retry_after_ms) == QUAR_NONE)
+		return false;
+	gw_count(request->gw, "retries_refused", "crashes");
+	request->is_trial = false;
+	return true;
+}
+
 /*
  * After a sending that may have run the request. last is the server's own
  * failure, which is handed on if there is no retry, or NULL.
@@ -586,7 +637,7 @@
 		      const struct http_response *last)
 {
 	request->nr_run++;
-	if (request->query.idempotent &&
+	if (request->query.idempotent && !is_watched(request) &&
 	    request->nr_run < request->attempts_max &&
 	    has_time_to_retry(request) && within_budget(request)) {
 		gw_count(request->gw, "retries", refusal_name(refusal));
@@ -598,6 +649,18 @@
 	}
 }
 
+/*
+ * A server has run the request and goes on.
+ */
+static void note_answered(struct gw_request *request)
+{
+	struct gw *gw = request->gw;
+
+	if (request->req->body_bytes <= SMALL_BODY_BYTES ||
+	    crs_is_needed(gw->crs))
+		gw_crash_answered(gw, fingerprint_of(request));
+}
+
 static void on_answer(struct gw_request *request, struct http_conn *conn,
 		      const struct http_response *response)
 {
@@ -622,6 +685,8 @@
 	}
 	gw_backend_done(gw, request->choice.server, conn, id_hash(request),
 			read.idle_max_ms);
+	if (read.misdirected)
+		gw_crash_replaced(gw, request->choice.server);
 	if (read.not_run) {
 		end_sending(request, read.misdirected ? STEER_GONE : STEER_SHED,
 			    read.misdirected ? "other_server" : "not_run",
@@ -629,6 +694,7 @@
 		retry_not_run(request, true, REFUSAL_QUEUE_FULL);
 		return;
 	}
+	note_answered(request);
 	if (response->status >= 500) {
 		end_sending(request, STEER_FAILURE, "server_status", &load);
 		retry_run(request, REFUSAL_SERVER_LOST, response);
@@ -722,6 +788,11 @@
 		retry_not_run(request, false, REFUSAL_NO_SERVER);
 		return;
 	}
+	if (outcome->result == HTTP_CLOSED || outcome->result == HTTP_CUT)
+		gw_crash_broke(request->gw, fingerprint_of(request),
+			       request->choice.server,
+			       (uint32_t)(gw_now_ms(request->gw) -
+					  request->sending.sent_ms));
 	end_sending(request,
 		    outcome->result == HTTP_CLOSED ||
 				    outcome->result == HTTP_CUT ?
@@ -883,11 +954,27 @@
 	return true;
 }
 
+/*
+ * Returns true when the request is refused, and gone.
+ */
+static bool refuse_crashes(struct gw_request *request)
+{
+	uint32_t retry_after_ms;
+
+	if (judge_crashes(request, &retry_after_ms) != QUAR_REFUSED)
+		return false;
+	refuse(request, request->nr_run ? REFUSAL_SERVER_LOST : REFUSAL_CRASHES,
+	       retry_after_ms);
+	return true;
+}
+
 static void attempt(struct gw_request *request)
 {
 	struct gw *gw = request->gw;
 
 	while (gw_now_ms(gw) < request->limit_ms) {
+		if (refuse_crashes(request))
+			return;
 		set_time_left(request);
 		steer_pick(gw->steer, &request->query, &request->choice);
 		if (request->choice.verdict != STEER_SEND) {
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -140,6 +140,25 @@
 enum loop_error loop_udp_send(struct loop_udp *udp, const char *address,
 			      const void *data, size_t len_bytes);
 
+/*
+ * Whether anything listens at "IP:port". fn is called once, never from within
+ * this call, unless the probe is destroyed before; the probe is gone then.
+ */
+enum loop_probe_result {
+	LOOP_PROBE_ACCEPTED,
+	LOOP_PROBE_REFUSED, /* the host runs, and nothing listens */
+	LOOP_PROBE_NO_ANSWER
+};
+
+struct loop_probe;
+
+typedef void (*loop_probe_fn)(void *arg, enum loop_probe_result result);
+
+enum loop_error loop_probe(struct loop *loop, const char *address,
+			   uint32_t timeout_ms, loop_probe_fn fn, void *arg,
+			   struct loop_probe **probe);
+void loop_probe_destroy(struct loop_probe *probe);
+
 void loop_conn_set_ops(struct loop_conn *conn, const struct loop_conn_ops *ops,
 		       void *arg);
 
--- a/almondward/quarantine.h
+++ b/almondward/quarantine.h
@@ -1,8 +1,10 @@
 /*
  * quar: requests that crash the backend servers that run them.
  *
- * Counts crash reports by request fingerprint. Decisions only: time comes from
- * a clock. See docs/design.md, "Requests that crash servers".
+ * Counts the servers that ended under requests with the same fingerprint. A
+ * request that was answered is cleared: one that crashes its servers never is.
+ * Decisions only: time comes from a clock. See docs/design.md, "Requests that
+ * crash servers".
  */
 #ifndef QUARANTINE_H
 #define QUARANTINE_H
@@ -22,6 +24,39 @@
 #define QUAR_ZONE_SERVERS 3 /* lost in one zone: a failure of the zone */
 #define QUAR_ZONE_MS 2000
 #define QUAR_REQUESTS_MAX 10000
+/* A connection that broke shows the end of its server only if that becomes
+ * known within this time. */
+#define QUAR_END_KNOWN_MS 10000
+/* Servers lost so soon after an answer to the same request say nothing about
+ * it, since answers are reported by several instances. */
+#define QUAR_ANSWERED_MS 2000
+/* A request that was answered so lately has run without harm: servers that
+ * are lost together under it count as one. */
+#define QUAR_HARMLESS_MS 60000
+/* Time after the last loss until a request on trial is sent again. */
+#define QUAR_TRIAL_MS 2000
+
+/* What may be done with a request, the strictest last. */
+enum quar_state {
+	QUAR_NONE,
+	QUAR_WATCHED, /* served, but not sent again by itself */
+	QUAR_TRIAL, /* its servers were lost at one moment: one sending at a
+		       time shows whether it or something else ended them */
+	QUAR_REFUSED
+};
+
+struct quar_limits {
+	uint32_t servers; /* different ones lost */
+	uint32_t processes; /* also several of one server */
+	uint32_t watched; /* lost before a request is listed, 0: it is not */
+	/* Reports that a connection broke count only when the end of the server
+	 * is known from elsewhere. */
+	bool needs_end;
+	size_t requests_max;
+};
+
+extern const struct quar_limits quar_leased; /* of the leased roles */
+extern const struct quar_limits quar_seeded; /* of a seeded cluster */
 
 struct quar;
 
@@ -30,16 +65,31 @@
 /*
  * first_version is the version of the empty list; versions only grow.
  */
-struct quar *quar_create(struct clk *clk, uint64_t first_version);
+struct quar *quar_create(struct clk *clk, uint64_t first_version,
+			 const struct quar_limits *limits);
 void quar_destroy(struct quar *quar);
 
 /*
  * A connection broke after the request was sent. Repeating a report changes
- * nothing. zone is "" when the server is not known.
+ * nothing, but may tell that the server has ended. zone is "" when the server
+ * is not known.
  */
 enum quar_error quar_crash(struct quar *quar, const Aw__CrashReport *crash,
 			   const char *zone);
 
+/*
+ * That process has ended, or a later one has its address.
+ */
+void quar_ended(struct quar *quar, const char *address, uint64_t incarnation);
+void quar_started(struct quar *quar, const char *address, uint64_t incarnation);
+
+/*
+ * A server has answered such a request. Ends what the request was suspected of
+ * until then, and a quarantine unless a server was lost since.
+ */
+void quar_answered(struct quar *quar, const uint8_t fingerprint[HASH_BYTES],
+		   uint32_t age_ms);
+
 /*
  * A quarantine that an earlier leader decided.
  */
@@ -50,6 +100,15 @@
  */
 void quar_tick(struct quar *quar);
 
+/*
+ * last_ms, if not NULL, is set to the clock at the last loss of a server.
+ */
+enum quar_state quar_state(const struct quar *quar,
+			   const uint8_t fingerprint[HASH_BYTES],
+			   uint64_t *last_ms);
+bool quar_knows(const struct quar *quar, const uint8_t fingerprint[HASH_BYTES]);
+size_t quar_nr_requests(const struct quar *quar);
+
 /*
  * Changes when the list for entry instances changes.
  */
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -1577,6 +1577,22 @@
 	return is_news;
 }
 
+bool steer_server_is_leaving(struct steer *steer,
+			     const struct steer_server *server)
+{
+	enum notice_state state;
+
+	read_clock(steer);
+	state = notice_of(steer, server);
+	return state == NOTICE_LEAVING || state == NOTICE_LEFT;
+}
+
+bool steer_server_is_cold(struct steer *steer,
+			  const struct steer_server *server)
+{
+	return server->cold_until_ms > read_clock(steer);
+}
+
 bool steer_may_send(struct steer *steer, const struct steer_server *server)
 {
 	enum notice_state state;
@@ -1646,6 +1662,11 @@
 	return server->nr_idle;
 }
 
+uint64_t steer_server_incarnation(const struct steer_server *server)
+{
+	return server->incarnation;
+}
+
 const char *steer_server_zone(const struct steer_server *server)
 {
 	return server->zone;
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -166,6 +166,15 @@
 bool steer_server_pauses(struct steer *steer, struct steer_server *server,
 			 uint32_t pause_ms);
 
+/*
+ * What may end a server beside the requests that it runs: it said that it
+ * leaves, or it is cold and too many requests come.
+ */
+bool steer_server_is_leaving(struct steer *steer,
+			     const struct steer_server *server);
+bool steer_server_is_cold(struct steer *steer,
+			  const struct steer_server *server);
+
 /*
  * Whether a request that was meant for the server may be sent now.
  */
@@ -207,6 +216,7 @@
  */
 uint32_t steer_way_ms(struct steer *steer, const struct steer_server *server);
 const char *steer_server_id(const struct steer_server *server);
+uint64_t steer_server_incarnation(const struct steer_server *server);
 const char *steer_server_address(const struct steer_server *server);
 const char *steer_server_zone(const struct steer_server *server);
 const char *steer_server_region(const struct steer_server *server);
--- a/almondward/types.c
+++ b/almondward/types.c
@@ -31,6 +31,7 @@
 	[REFUSAL_CLAIM_MISMATCH] = { "claim_mismatch", 422 },
 	[REFUSAL_CLAIM_UNAVAILABLE] = { "claim_unavailable", 503 },
 	[REFUSAL_QUARANTINED] = { "quarantined", 422 },
+	[REFUSAL_CRASHES] = { "crashes_servers", 503 },
 	[REFUSAL_DEADLINE] = { "deadline", 504 },
 	[REFUSAL_CONNECT] = { "connect", 502 },
 	[REFUSAL_SERVER_LOST] = { "server_lost", 502 },
--- a/almondward/types.h
+++ b/almondward/types.h
@@ -60,6 +60,7 @@
 	REFUSAL_CLAIM_MISMATCH,
 	REFUSAL_CLAIM_UNAVAILABLE,
 	REFUSAL_QUARANTINED,
+	REFUSAL_CRASHES, /* quarantined, in a seeded cluster */
 	REFUSAL_DEADLINE,
 	REFUSAL_CONNECT,
 	REFUSAL_SERVER_LOST, /* connection broke before the answer */
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -168,6 +168,7 @@
         if not same_id:
             self.name = f"{self.name.split('.')[0]}.{self.starts}"
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self.left_at = None
         self.is_down = False
         self.tasks.clear()
         await self.start()
@@ -190,9 +191,17 @@
                 return True
         return False
 
+    async def leave(self):
+        """Says that it ends without having said "draining"."""
+        for address in self.cluster.control_order():
+            answer = await call(address, "DELETE", f"/api/instances/{self.name}", timeout_s=1.0)
+            if answer and answer.status == 200:
+                self.state, self.left_at = "gone", time.monotonic()
+                return
+
     async def beat(self):
         while True:
-            if not self.silent:
+            if not self.silent and self.state != "gone":
                 await self.beat_once()
             await asyncio.sleep(0.5)
 
@@ -234,7 +243,8 @@
         self.cluster.ran(self, request_id, method, target, headers, body)
         if self.cluster.is_lethal(target, body):
             await asyncio.sleep(self.lethal_s)
-            self.cluster.ended.append((time.monotonic(), self.name))
+            if not self.is_down:
+                self.cluster.ended.append((time.monotonic(), self.name))
             self.end(self.down_s, self.keeps_id)
             return False
         self.running += 1
--- /dev/null
+++ b/tests/crashes_test.cc
@@ -0,0 +1,492 @@
+// Requests that crash servers in a seeded cluster: what counts, what does not,
+// and who may send a request on trial.
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "crashes.h"
+
+namespace
+{
+
+struct Crash {
+	uint8_t request;
+	const char *address;
+	uint32_t took_ms = 5;
+	bool ended = true;
+	bool cold = false;
+	uint64_t incarnation = 1;
+	const char *zone = "z1";
+	uint32_t age_ms = 0;
+};
+
+struct SeededQuar : testing::Test {
+	struct clk *clk = clk_create_paused(100000000);
+	struct quar *quar = quar_create(clk, 1, &quar_seeded);
+
+	~SeededQuar() override
+	{
+		quar_destroy(quar);
+		clk_destroy(clk);
+	}
+
+	void crash(const Crash &from)
+	{
+		uint8_t fingerprint[HASH_BYTES];
+		Aw__CrashReport msg;
+
+		memset(fingerprint, from.request, sizeof(fingerprint));
+		aw__crash_report__init(&msg);
+		msg.fingerprint.data = fingerprint;
+		msg.fingerprint.len = sizeof(fingerprint);
+		msg.server_address = (char *)from.address;
+		msg.server_incarnation = from.incarnation;
+		msg.took_ms = from.took_ms;
+		msg.ended = from.ended;
+		msg.cold = from.cold;
+		msg.age_ms = from.age_ms;
+		ASSERT_EQ(QUAR_OK, quar_crash(quar, &msg, from.zone));
+	}
+
+	void answered(uint8_t request, uint32_t age_ms = 0)
+	{
+		uint8_t fingerprint[HASH_BYTES];
+
+		memset(fingerprint, request, sizeof(fingerprint));
+		quar_answered(quar, fingerprint, age_ms);
+	}
+
+	enum quar_state state(uint8_t request = 1)
+	{
+		uint8_t fingerprint[HASH_BYTES];
+
+		memset(fingerprint, request, sizeof(fingerprint));
+		return quar_state(quar, fingerprint, nullptr);
+	}
+
+	void pass(uint64_t ms)
+	{
+		clk_advance_ms(clk, ms);
+		quar_tick(quar);
+	}
+};
+
+TEST_F(SeededQuar, ThirdServerOneAfterTheOtherIsTheLast)
+{
+	crash({ 1, "s1" });
+	EXPECT_EQ(QUAR_NONE, state());
+	pass(200);
+	crash({ 1, "s2", .zone = "z2" });
+	EXPECT_EQ(QUAR_WATCHED, state());
+	pass(200);
+	crash({ 1, "s3", .zone = "z3" });
+	EXPECT_EQ(QUAR_REFUSED, state());
+	pass(QUARANTINE_MS - 1);
+	EXPECT_EQ(QUAR_REFUSED, state());
+	pass(1);
+	EXPECT_EQ(QUAR_NONE, state());
+	EXPECT_EQ(0u, quar_nr_requests(quar));
+}
+
+// A service of one or two servers: its processes count.
+TEST_F(SeededQuar, ProcessesOfOneServerCount)
+{
+	for (uint64_t incarnation = 1; incarnation <= 3; incarnation++) {
+		crash({ 1, "s1", .incarnation = incarnation });
+		crash({ 1, "s1", .incarnation = incarnation }); // told twice
+		pass(3000);
+	}
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
+// Reset connections and lost answers must not be taken for ends of servers.
+TEST_F(SeededQuar, BrokenConnectionsAloneShowNothing)
+{
+	for (const char *address : { "s1", "s2", "s3", "s4", "s5" }) {
+		crash({ 1, address, .ended = false });
+		pass(1000);
+	}
+	EXPECT_EQ(QUAR_NONE, state());
+	pass(QUAR_END_KNOWN_MS);
+	EXPECT_EQ(0u, quar_nr_requests(quar));
+}
+
+TEST_F(SeededQuar, EndMayBecomeKnownLater)
+{
+	for (const char *address : { "s1", "s2", "s3" }) {
+		crash({ 1, address, .ended = false });
+		pass(1000);
+	}
+	quar_ended(quar, "s1", 1);
+	quar_ended(quar, "s2", 7); // a later process
+	EXPECT_EQ(QUAR_NONE, state());
+	quar_started(quar, "s2", 2);
+	EXPECT_EQ(QUAR_WATCHED, state());
+	quar_started(quar, "s3", 1); // still the same process
+	EXPECT_EQ(QUAR_WATCHED, state());
+	crash({ 1, "s3", .ended = true }); // told again
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
+TEST_F(SeededQuar, EndLongAfterwardsShowsNothing)
+{
+	for (const char *address : { "s1", "s2", "s3" })
+		crash({ 1, address, .ended = false });
+	pass(QUAR_END_KNOWN_MS);
+	for (const char *address : { "s1", "s2", "s3" })
+		quar_started(quar, address, 2);
+	EXPECT_EQ(QUAR_NONE, state());
+}
+
+// Servers that end together may have another cause: the request gets a trial
+// instead of a refusal without appeal.
+TEST_F(SeededQuar, LossesAtOneMomentMakeATrial)
+{
+	for (const char *address : { "s1", "s2", "s3", "s4", "s5", "s6" })
+		crash({ 1, address, .took_ms = 500, .zone = address });
+	EXPECT_EQ(QUAR_TRIAL, state());
+	pass(3000);
+	crash({ 1, "s7", .zone = "s7" });
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
+// More losses at one moment than are remembered must not hide a later one.
+TEST_F(SeededQuar, LaterLossCountsAfterManyTogether)
+{
+	std::vector<std::string> addresses;
+
+	for (int i = 0; i < 20; i++)
+		addresses.push_back("s" + std::to_string(i));
+	for (const auto &address : addresses)
+		crash({ 1, address.c_str(), .took_ms = 500, .zone = "" });
+	EXPECT_EQ(QUAR_TRIAL, state());
+	pass(3000);
+	crash({ 1, "later", .zone = "" });
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
+TEST_F(SeededQuar, AnswerEndsTheSuspicion)
+{
+	crash({ 1, "s1" });
+	pass(3000);
+	crash({ 1, "s2" });
+	answered(1);
+	EXPECT_EQ(QUAR_NONE, state());
+	crash({ 1, "s3", .age_ms = 100 });
+	EXPECT_EQ(QUAR_NONE, state());
+}
+
+TEST_F(SeededQuar, AnswerEndsAQuarantine)
+{
+	for (const char *address : { "s1", "s2", "s3" }) {
+		crash({ 1, address });
+		pass(300);
+	}
+	EXPECT_EQ(QUAR_REFUSED, state());
+	uint64_t version = quar_version(quar);
+	answered(1); // of a copy that was under way
+	EXPECT_EQ(QUAR_NONE, state());
+	EXPECT_GT(quar_version(quar), version);
+}
+
+// A request that ran without harm a while ago, when all servers end at once.
+TEST_F(SeededQuar, LossesTogetherCountOnceAfterAnAnswer)
+{
+	for (const char *address : { "s1", "s2", "s3", "s4" })
+		crash({ 1, address, .took_ms = 500, .zone = address });
+	answered(1, 5000);
+	EXPECT_EQ(QUAR_NONE, state());
+	// New software may crash on what the old one could do.
+	for (const char *address : { "s5", "s6" }) {
+		pass(3000);
+		crash({ 1, address });
+	}
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
+TEST_F(SeededQuar, ColdServersCountHalf)
+{
+	for (const char *address : { "s1", "s2", "s3" }) {
+		crash({ 1, address, .cold = true });
+		pass(3000);
+	}
+	EXPECT_EQ(QUAR_NONE, state());
+	crash({ 1, "s4" });
+	EXPECT_EQ(QUAR_WATCHED, state());
+	pass(3000);
+	crash({ 1, "s5" });
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
+TEST_F(SeededQuar, FailedZoneShowsNothingOfARequestOnHalfOfIt)
+{
+	crash({ 1, "s1" });
+	crash({ 1, "s2" });
+	for (const char *address : { "s3", "s4", "s5" })
+		crash({ 2, address });
+	EXPECT_EQ(QUAR_NONE, state());
+}
+
+TEST_F(SeededQuar, NewLeaderGoesOnWithARecord)
+{
+	uint8_t fingerprint[HASH_BYTES];
+	Aw__Quarantine held;
+
+	memset(fingerprint, 1, sizeof(fingerprint));
+	aw__quarantine__init(&held);
+	held.fingerprint.data = fingerprint;
+	held.fingerprint.len = sizeof(fingerprint);
+	held.expires_in_ms = 60000;
+	held.state = AW__QUARANTINE_STATE__QUARANTINE_TRIAL;
+	ASSERT_EQ(QUAR_OK, quar_hold(quar, &held));
+	EXPECT_EQ(QUAR_TRIAL, state());
+	pass(3000);
+	crash({ 1, "s1" });
+	EXPECT_EQ(QUAR_REFUSED, state());
+	answered(1, 60000); // before
+	EXPECT_EQ(QUAR_REFUSED, state());
+	answered(1);
+	EXPECT_EQ(QUAR_NONE, state());
+}
+
+TEST_F(SeededQuar, WhatIsKeptIsBounded)
+{
+	struct quar_limits limits = quar_seeded;
+
+	limits.requests_max = 10;
+	quar_destroy(quar);
+	quar = quar_create(clk, 1, &limits);
+	for (const char *address : { "s1", "s2", "s3" }) {
+		crash({ 200, address });
+		pass(300);
+	}
+	for (uint8_t request = 0; request < 100; request++) {
+		crash({ request, "s4" });
+		EXPECT_LE(quar_nr_requests(quar), 10u);
+	}
+	EXPECT_EQ(QUAR_REFUSED, state(200));
+	pass(QUARANTINE_MS);
+	EXPECT_EQ(0u, quar_nr_requests(quar));
+}
+
+// ---- at one instance ----
+
+struct Instance {
+	struct crs *crs;
+	std::string name;
+};
+
+struct CrsCase : testing::Test {
+	struct clk *clk = clk_create_paused(100000000);
+	std::vector<Instance> at;
+	std::vector<Aw__Instance> messages;
+	std::vector<const Aw__Instance *> list;
+	uint8_t fingerprint[HASH_BYTES];
+	bool in_touch = true;
+
+	CrsCase()
+	{
+		memset(fingerprint, 1, sizeof(fingerprint));
+		for (int i = 0; i < 4; i++)
+			at.push_back({ crs_create(clk),
+				       "entry-" + std::to_string(i) });
+		messages.resize(at.size());
+		for (size_t i = 0; i < at.size(); i++) {
+			aw__instance__init(&messages[i]);
+			messages[i].name = &at[i].name[0];
+			list.push_back(&messages[i]);
+		}
+	}
+
+	~CrsCase() override
+	{
+		for (auto &instance : at)
+			crs_destroy(instance.crs);
+		clk_destroy(clk);
+	}
+
+	bool broke(size_t i, const char *address, bool ended = true)
+	{
+		struct crs_break broke = { fingerprint, address, address,
+					   address,	1,	 5,
+					   false };
+		bool suspected = crs_broke(at[i].crs, &broke);
+
+		if (ended)
+			crs_ended(at[i].crs, address, 1);
+		return suspected;
+	}
+
+	enum quar_state judge(size_t i, uint32_t *retry_after_ms = nullptr)
+	{
+		struct crs_place place = { at[i].name.c_str(), in_touch,
+					   list.data(), list.size() };
+		struct crs_verdict verdict;
+
+		crs_judge(at[i].crs, fingerprint, &place, &verdict);
+		if (retry_after_ms)
+			*retry_after_ms = verdict.retry_after_ms;
+		return verdict.state;
+	}
+
+	void follow(size_t i, Aw__QuarantineState state,
+		    uint32_t first_age_ms = 0, uint32_t last_age_ms = 0)
+	{
+		Aw__Quarantine one, *pointer = &one;
+		Aw__Feed feed;
+
+		aw__quarantine__init(&one);
+		one.fingerprint.data = fingerprint;
+		one.fingerprint.len = sizeof(fingerprint);
+		one.expires_in_ms = 60000;
+		one.state = state;
+		one.first_age_ms = first_age_ms;
+		one.last_age_ms = last_age_ms;
+		aw__feed__init(&feed);
+		feed.quarantines = &pointer;
+		feed.n_quarantines = 1;
+		ASSERT_EQ(0, crs_follow(at[i].crs, &feed));
+	}
+
+	void follow_nothing(size_t i)
+	{
+		Aw__Feed feed;
+
+		aw__feed__init(&feed);
+		ASSERT_EQ(0, crs_follow(at[i].crs, &feed));
+	}
+};
+
+TEST_F(CrsCase, InstanceOutOfTouchCountsByItself)
+{
+	in_touch = false;
+	for (const char *address : { "s1", "s2", "s3" }) {
+		EXPECT_NE(QUAR_REFUSED, judge(0));
+		EXPECT_TRUE(broke(0, address));
+		clk_advance_ms(clk, 300);
+	}
+	EXPECT_EQ(QUAR_REFUSED, judge(0));
+	EXPECT_EQ(QUAR_NONE, judge(1));
+	// The leader has heard of answers elsewhere.
+	in_touch = true;
+	clk_advance_ms(clk, CRS_OWN_MS);
+	EXPECT_EQ(QUAR_NONE, judge(0));
+}
+
+TEST_F(CrsCase, NewsAreToldOnceAndAgainToANewLeader)
+{
+	Aw__CrashNews news;
+
+	EXPECT_FALSE(crs_news(at[0].crs, &news));
+	broke(0, "s1", false);
+	broke(0, "s1", false); // a copy on the same server
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	ASSERT_EQ(1u, news.n_crashes);
+	EXPECT_FALSE(news.crashes[0]->ended);
+	crs_news_sent(at[0].crs);
+	EXPECT_FALSE(crs_news(at[0].crs, &news));
+	crs_ended(at[0].crs, "s1", 1);
+	clk_advance_ms(clk, 700);
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	EXPECT_TRUE(news.crashes[0]->ended);
+	EXPECT_EQ(700u, news.crashes[0]->age_ms);
+	crs_news_sent(at[0].crs);
+	crs_tell_again(at[0].crs);
+	EXPECT_TRUE(crs_news(at[0].crs, &news));
+	clk_advance_ms(clk, QUARANTINE_MS);
+	EXPECT_FALSE(crs_news(at[0].crs, &news));
+}
+
+TEST_F(CrsCase, ReportsAreBounded)
+{
+	Aw__CrashNews news;
+
+	for (int i = 0; i < 3 * CRS_REPORTS_MAX; i++)
+		broke(0, ("s" + std::to_string(i)).c_str());
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	EXPECT_EQ((size_t)CRS_REPORTS_MAX, news.n_crashes);
+}
+
+TEST_F(CrsCase, RequestAnsweredLatelyIsNotSuspected)
+{
+	Aw__CrashNews news;
+
+	crs_answered(at[0].crs, fingerprint);
+	clk_advance_ms(clk, QUAR_ANSWERED_MS);
+	EXPECT_FALSE(broke(0, "s1"));
+	clk_advance_ms(clk, 1);
+	EXPECT_TRUE(broke(0, "s2"));
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	EXPECT_EQ(1u, news.n_crashes);
+	EXPECT_EQ(1u, news.n_answers); // lately, so that losses count together
+}
+
+// Another instance may have served what this one reports.
+TEST_F(CrsCase, ListedRequestThatWasAnsweredIsTold)
+{
+	Aw__CrashNews news;
+
+	crs_answered(at[1].crs, fingerprint);
+	clk_advance_ms(clk, 500);
+	EXPECT_FALSE(crs_news(at[1].crs, &news));
+	follow(1, AW__QUARANTINE_STATE__QUARANTINE_WATCHED, 300);
+	ASSERT_TRUE(crs_news(at[1].crs, &news));
+	ASSERT_EQ(1u, news.n_answers);
+	EXPECT_EQ(500u, news.answers[0]->age_ms);
+	crs_news_sent(at[1].crs);
+	clk_advance_ms(clk, 2 * QUAR_HARMLESS_MS);
+	follow(1, AW__QUARANTINE_STATE__QUARANTINE_REFUSED);
+	EXPECT_FALSE(crs_news(at[1].crs, &news));
+}
+
+TEST_F(CrsCase, ListIsFollowedUntilItsTime)
+{
+	uint32_t retry_after_ms;
+
+	follow(0, AW__QUARANTINE_STATE__QUARANTINE_REFUSED);
+	EXPECT_EQ(QUAR_REFUSED, judge(0, &retry_after_ms));
+	EXPECT_EQ(60000u, retry_after_ms);
+	follow_nothing(0);
+	EXPECT_EQ(QUAR_NONE, judge(0));
+	EXPECT_FALSE(crs_is_needed(at[0].crs));
+	follow(0, AW__QUARANTINE_STATE__QUARANTINE_WATCHED);
+	EXPECT_EQ(QUAR_WATCHED, judge(0));
+	in_touch = false;
+	follow(0, AW__QUARANTINE_STATE__QUARANTINE_REFUSED);
+	clk_advance_ms(clk, 59999);
+	EXPECT_EQ(QUAR_REFUSED, judge(0));
+	clk_advance_ms(clk, 1);
+	crs_tick(at[0].crs);
+	EXPECT_EQ(QUAR_NONE, judge(0));
+	EXPECT_FALSE(crs_is_needed(at[0].crs));
+}
+
+// Several instances that try at once would each cost a server.
+TEST_F(CrsCase, OneInstanceAtATimeSendsATrial)
+{
+	size_t trials = 0;
+
+	for (size_t i = 0; i < at.size(); i++)
+		follow(i, AW__QUARANTINE_STATE__QUARANTINE_TRIAL);
+	for (uint64_t ms = 0; ms < QUAR_TRIAL_MS; ms += 100) {
+		for (size_t i = 0; i < at.size(); i++)
+			EXPECT_EQ(QUAR_REFUSED, judge(i));
+		clk_advance_ms(clk, 100);
+	}
+	for (uint64_t turn = 0; turn < 8; turn++) {
+		size_t now = 0;
+
+		for (uint64_t ms = 0; ms < CRS_TURN_MS; ms += 100) {
+			for (size_t i = 0; i < at.size(); i++)
+				now += judge(i) == QUAR_TRIAL;
+			clk_advance_ms(clk, 100);
+		}
+		EXPECT_EQ(1u, now) << "turn " << turn;
+		trials += now;
+	}
+	EXPECT_EQ(8u, trials);
+}
+
+} // namespace
--- a/tests/fleet_service_test.cc
+++ b/tests/fleet_service_test.cc
@@ -121,3 +121,68 @@
 	buf_release(&packed);
 	fleet_destroy(loaded);
 }
+
+class FleetQuarantine : public FleetService
+{
+protected:
+	Aw__OpCode quarantine(uint32_t request, uint64_t until_ms,
+			      uint64_t now_ms, bool trial = false,
+			      size_t len_bytes = HASH_BYTES)
+	{
+		Aw__QuarantineRecord body = AW__QUARANTINE_RECORD__INIT;
+		uint8_t fingerprint[HASH_BYTES] = { (uint8_t)request,
+						    (uint8_t)(request >> 8) };
+		Aw__Op op = AW__OP__INIT;
+
+		body.fingerprint.data = fingerprint;
+		body.fingerprint.len = len_bytes;
+		body.until_ms = until_ms;
+		body.trial = trial;
+		op.time_ms = now_ms;
+		op.body_case = AW__OP__BODY_QUARANTINE;
+		op.quarantine = &body;
+		return apply(op);
+	}
+
+	size_t count()
+	{
+		size_t nr;
+
+		fleet_quarantines(fleet, &nr);
+		return nr;
+	}
+};
+
+// A restart of everything must not send a request to servers that is known to
+// crash them, nor keep it for ever.
+TEST_F(FleetQuarantine, OutlivesASnapshotAndEnds)
+{
+	struct buf packed = BUF_INIT;
+	size_t nr;
+
+	EXPECT_EQ(AW__OP_CODE__OP_DONE, quarantine(1, 5000, 1000, true));
+	EXPECT_EQ(AW__OP_CODE__OP_DONE, quarantine(2, 9000, 1000));
+	EXPECT_EQ(AW__OP_CODE__OP_DONE, quarantine(1, 6000, 1000));
+	ASSERT_EQ(FLEET_OK, fleet_pack(fleet, &packed));
+	ASSERT_EQ(FLEET_OK, fleet_load(fleet, packed.data, packed.len_bytes));
+	buf_release(&packed);
+	ASSERT_EQ(2u, count());
+	EXPECT_EQ(6000u, fleet_quarantines(fleet, &nr)[1]->until_ms);
+	EXPECT_FALSE(fleet_quarantines(fleet, &nr)[1]->trial);
+	EXPECT_EQ(AW__OP_CODE__OP_DONE, quarantine(2, 0, 1000));
+	EXPECT_EQ(1u, count());
+	EXPECT_EQ(AW__OP_CODE__OP_DONE, quarantine(3, 5999, 6000));
+	EXPECT_EQ(0u, count());
+}
+
+TEST_F(FleetQuarantine, OldestIsForgottenFirst)
+{
+	size_t nr;
+
+	for (uint32_t request = 0; request < 3000; request++)
+		EXPECT_EQ(AW__OP_CODE__OP_DONE, quarantine(request, 2, 1));
+	EXPECT_EQ(1024u, count());
+	EXPECT_EQ((3000u - 1024u) & 255,
+		  fleet_quarantines(fleet, &nr)[0]->fingerprint.data[0]);
+	EXPECT_EQ(AW__OP_CODE__OP_INVALID, quarantine(1, 2, 1, false, 3));
+}
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -79,6 +79,51 @@
 	EXPECT_FALSE(raw.opened);
 }
 
+struct Probed {
+	bool done = false;
+	enum loop_probe_result result = LOOP_PROBE_NO_ANSWER;
+
+	static void on_probed(void *arg, enum loop_probe_result result)
+	{
+		((Probed *)arg)->done = true;
+		((Probed *)arg)->result = result;
+	}
+};
+
+static enum loop_probe_result probe(Net &net, const char *address,
+				    uint32_t timeout_ms)
+{
+	struct loop_probe *unused;
+	Probed probed;
+
+	EXPECT_EQ(LOOP_OK, loop_probe(net.loop, address, timeout_ms,
+				      Probed::on_probed, &probed, &unused));
+	EXPECT_FALSE(probed.done);
+	EXPECT_TRUE(net.until([&] { return probed.done; }));
+	return probed.result;
+}
+
+// A process that has ended must be told from one that goes on, and from a host
+// that is gone.
+TEST(Loop, ProbeTellsWhetherAnythingListens)
+{
+	Net net;
+	RawServer server(net);
+	struct loop_probe *dropped;
+	Probed probed;
+
+	EXPECT_EQ(LOOP_PROBE_ACCEPTED, probe(net, server.address(), 1000));
+	EXPECT_EQ(LOOP_PROBE_REFUSED, probe(net, "127.0.0.1:1", 1000));
+	EXPECT_EQ(LOOP_ERR_ADDRESS,
+		  loop_probe(net.loop, "x", 100, Probed::on_probed, &probed,
+			     &dropped));
+	ASSERT_EQ(LOOP_OK, loop_probe(net.loop, "127.0.0.1:1", 100,
+				      Probed::on_probed, &probed, &dropped));
+	loop_probe_destroy(dropped);
+	net.run_ms(150);
+	EXPECT_FALSE(probed.done);
+}
+
 // A full backlog answers no connection request.
 TEST(Loop, ConnectTimesOut)
 {
@@ -101,6 +146,7 @@
 	dropped.close();
 	ASSERT_TRUE(net.until([&] { return raws.back()->closed; }));
 	EXPECT_EQ(LOOP_CLOSE_CONNECT_FAILED, raws.back()->reason);
+	EXPECT_EQ(LOOP_PROBE_NO_ANSWER, probe(net, address.c_str(), 50));
 	net.run_ms(60);
 	EXPECT_FALSE(dropped.closed);
 	close(fd);
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -204,7 +204,7 @@
 
 struct QuarCase : testing::Test {
 	struct clk *clk = clk_create_paused(10000000);
-	struct quar *quar = quar_create(clk, 1);
+	struct quar *quar = quar_create(clk, 1, &quar_leased);
 
 	~QuarCase() override
 	{
