control: Record quarantines in the leased roles too

The same fault in the other role: a restart of all processes at once forgot which requests crash servers, as only entry instances and the leader's memory had them, and the request cost two servers again. The leader now records quarantines in the log and a new one goes on with them, with the same code as in a seeded cluster.

--- a/almondward/control.c
+++ b/almondward/control.c
@@ -97,6 +97,8 @@
 		ctl_fail(ctl, "no memory for the state of a leader");
 		return;
 	}
+	if (!ctl->cluster)
+		ctl_quarantine_hold(ctl, soft_quarantine(ctl->soft));
 	buf_release(&ctl->handover.state);
 	ctl->handover.term = 0;
 	ctl->soft_term = term;
@@ -441,6 +443,8 @@
 	set_gauges(ctl, leads);
 	if (ctl->cluster)
 		ctl_cluster_tick(ctl, leads);
+	else if (leads)
+		ctl_quarantine_record(ctl, soft_quarantine(ctl->soft));
 	if (leads)
 		tell_news(ctl);
 	if (ctl->stop_ms)
--- a/almondward/control_cluster.c
+++ b/almondward/control_cluster.c
@@ -10,7 +10,6 @@
 
 #include "log.h"
 #include "message.h"
-#include "quarantine.h"
 
 /* How often the addresses of control instances are compared with the voters. */
 #define JOIN_INTERVAL_MS 200
--- a/almondward/control_cluster.h
+++ b/almondward/control_cluster.h
@@ -68,10 +68,7 @@
 	uint64_t fed_version;
 	uint64_t subscribe_ms; /* when the leader was asked last */
 	bool fed; /* by the leader link in use */
-	/* Requests that crash servers, while leading. */
-	struct quar *quar;
-	uint64_t seen_quarantines; /* version that is recorded */
-	uint32_t nr_quarantine_ops; /* under way */
+	struct quar *quar; /* requests that crash servers, while leading */
 	uint64_t joined_ms; /* when the addresses were last looked at */
 };
 
--- a/almondward/control_crashes.c
+++ b/almondward/control_crashes.c
@@ -6,12 +6,15 @@
 #include "quarantine.h"
 
 /*
- * Requests that crash servers, as the leader of a seeded cluster: counts what
- * all entry instances report, lists what they have to refuse, and records it.
+ * Requests that crash servers, at the leader: records which are quarantined and,
+ * in a seeded cluster, counts what all entry instances report and lists what
+ * they have to refuse.
  */
 
 /* One message has them all. */
 #define LISTED_MAX 1024
+/* No version of a list: the records are to be compared with it. */
+#define UNRECORDED UINT64_MAX
 
 static Aw__Quarantine *list_create(const struct quar *quar, size_t *nr)
 {
@@ -69,9 +72,9 @@
 	struct ctl *ctl = arg;
 
 	(void)result;
-	ctl->cluster->nr_quarantine_ops--;
+	ctl->nr_quarantine_ops--;
 	if (status != AW__PROPOSE_STATUS__PROPOSE_APPLIED)
-		ctl->cluster->seen_quarantines = 0;
+		ctl->seen_quarantines = UNRECORDED;
 }
 
 static void record(struct ctl *ctl, const Aw__QuarantineRecord *record)
@@ -83,10 +86,10 @@
 	op.quarantine = (Aw__QuarantineRecord *)record;
 	if (ctl_propose(ctl, &op, 0, record_done, ctl) !=
 	    AW__PROPOSE_STATUS__PROPOSE_APPLIED) {
-		ctl->cluster->seen_quarantines = 0;
+		ctl->seen_quarantines = UNRECORDED;
 		return;
 	}
-	ctl->cluster->nr_quarantine_ops++;
+	ctl->nr_quarantine_ops++;
 	ctl_count(ctl, "quarantines",
 		  !record->until_ms ? "ended" :
 		  record->trial	    ? "trial" :
@@ -154,27 +157,52 @@
 	}
 }
 
-/*
- * Brings the records in line with the list, when no operation is under way.
- */
-static void sync_records(struct ctl *ctl)
+void ctl_quarantine_record(struct ctl *ctl, const struct quar *quar)
 {
-	struct ctl_cluster *cluster = ctl->cluster;
-	uint64_t version = quar_version(cluster->quar);
+	uint64_t version = quar_version(quar);
 	Aw__Quarantine *list;
 	size_t nr;
 
-	if (cluster->seen_quarantines == version || cluster->nr_quarantine_ops)
+	if (ctl->seen_quarantines == version || ctl->nr_quarantine_ops)
 		return;
-	list = list_create(cluster->quar, &nr);
+	list = list_create(quar, &nr);
 	if (!list)
 		return;
-	cluster->seen_quarantines = version;
+	ctl->seen_quarantines = version;
 	record_new(ctl, list, nr);
 	record_ended(ctl, list, nr);
 	free(list);
 }
 
+static void hold(struct ctl *ctl, struct quar *quar,
+		 const Aw__QuarantineRecord *record)
+{
+	Aw__Quarantine held = AW__QUARANTINE__INIT;
+	uint64_t now_ms = ctl_time_ms(ctl);
+
+	if (record->until_ms <= now_ms)
+		return;
+	held.fingerprint = record->fingerprint;
+	held.expires_in_ms = record->until_ms - now_ms < QUARANTINE_MS ?
+				     (uint32_t)(record->until_ms - now_ms) :
+				     QUARANTINE_MS;
+	held.state = record->trial ? AW__QUARANTINE_STATE__QUARANTINE_TRIAL :
+				     AW__QUARANTINE_STATE__QUARANTINE_REFUSED;
+	if (quar_hold(quar, &held))
+		ctl_count(ctl, "quarantines", "lost");
+}
+
+void ctl_quarantine_hold(struct ctl *ctl, struct quar *quar)
+{
+	const Aw__QuarantineRecord *const *records;
+	size_t nr, i;
+
+	ctl->seen_quarantines = UNRECORDED;
+	records = fleet_quarantines(ctl->fleet, &nr);
+	for (i = 0; i < nr; i++)
+		hold(ctl, quar, records[i]);
+}
+
 /* ---- what is reported ---- */
 
 /*
@@ -254,39 +282,17 @@
 void ctl_crashes_tick(struct ctl *ctl)
 {
 	quar_tick(ctl->cluster->quar);
-	sync_records(ctl);
-}
-
-static void hold(struct ctl *ctl, const Aw__QuarantineRecord *record)
-{
-	Aw__Quarantine held = AW__QUARANTINE__INIT;
-	uint64_t now_ms = ctl_time_ms(ctl);
-
-	if (record->until_ms <= now_ms)
-		return;
-	held.fingerprint = record->fingerprint;
-	held.expires_in_ms = record->until_ms - now_ms < QUARANTINE_MS ?
-				     (uint32_t)(record->until_ms - now_ms) :
-				     QUARANTINE_MS;
-	held.state = record->trial ? AW__QUARANTINE_STATE__QUARANTINE_TRIAL :
-				     AW__QUARANTINE_STATE__QUARANTINE_REFUSED;
-	if (quar_hold(ctl->cluster->quar, &held))
-		ctl_count(ctl, "quarantines", "lost");
+	ctl_quarantine_record(ctl, ctl->cluster->quar);
 }
 
 int ctl_crashes_lead(struct ctl *ctl)
 {
 	struct ctl_cluster *cluster = ctl->cluster;
-	const Aw__QuarantineRecord *const *records;
-	size_t nr, i;
 
 	quar_destroy(cluster->quar);
 	cluster->quar = quar_create(ctl->clk, 1, &quar_seeded);
 	if (!cluster->quar)
 		return -1;
-	cluster->seen_quarantines = 0;
-	records = fleet_quarantines(ctl->fleet, &nr);
-	for (i = 0; i < nr; i++)
-		hold(ctl, records[i]);
+	ctl_quarantine_hold(ctl, cluster->quar);
 	return 0;
 }
--- a/almondward/control_internal.h
+++ b/almondward/control_internal.h
@@ -13,6 +13,7 @@
 #include "http.h"
 #include "loop.h"
 #include "peer.h"
+#include "quarantine.h"
 #include "raft.h"
 #include "store.h"
 
@@ -105,6 +106,8 @@
 	uint64_t told_ms; /* when entry instances were last told of news */
 	uint64_t told_state_version;
 	uint64_t told_table_version;
+	uint64_t seen_quarantines; /* version of the list that is recorded */
+	uint32_t nr_quarantine_ops; /* that record it, under way */
 	size_t steps_pending;
 	uint64_t steps_ms; /* when the last drain steps were applied */
 	uint64_t stop_ms; /* when the stop was asked for, 0: not */
@@ -173,6 +176,15 @@
 		    const Aw__Propose *propose);
 void ctl_propose_link_down(struct ctl *ctl, const struct peer_link *link);
 
+/* ---- control_crashes.c ---- */
+
+/*
+ * Brings the records in line with the list, when no operation is under way.
+ */
+void ctl_quarantine_record(struct ctl *ctl, const struct quar *quar);
+/* A new leader goes on with what is recorded. */
+void ctl_quarantine_hold(struct ctl *ctl, struct quar *quar);
+
 /* ---- control_raft.c ---- */
 
 extern const struct raft_ops ctl_raft_ops;
--- a/tests/process_entry.py
+++ b/tests/process_entry.py
@@ -35,6 +35,25 @@
     print(f"crashing look-up: {lost} servers lost in 12 sends")
 
 
+def crashing_lookup_after_restart(fleet):
+    """A restart of all processes must not cost servers again."""
+    before = len(alive(fleet, "lookup"))
+    names = list(fleet.control_names) + list(fleet.entry_names)
+    for name in names:
+        fleet.processes[name].kill()
+    for name in names:
+        fleet.start_instance(name)
+    for name in fleet.entry_names:
+        fleet.wait_ready(name)
+    fleetlib.wait_until("entry-1 serves", lambda: fleet.get(
+        "entry-1", "/orders/1").status == 200, 15)
+    for i in range(6):
+        fleet.get(fleet.entry_names[i % len(fleet.entry_names)], "/orders/13?fault=crash")
+        time.sleep(0.1)
+    lost = before - len(alive(fleet, "lookup"))
+    assert lost == 0, f"{lost} of {before} servers crashed again"
+
+
 def crashing_commitment(fleet):
     """A non-idempotent request that crashes a server runs on one only."""
     before = len(alive(fleet, "commitment"))
@@ -215,7 +234,8 @@
         for case in (entry_killed_after_dispatch, restarted_server_same_address,
                      silent_connections, frozen_server, leaving_server,
                      planned_stop_during_upload, planned_stop_of_leader,
-                     crashing_commitment, crashing_lookup):
+                     crashing_commitment, crashing_lookup,
+                     crashing_lookup_after_restart):
             checks.run(case.__name__, case, fleet)
         seen = sum(fleet.server_stats(s)["key_seen"] for s in fleet.servers
                    if s.running())
