agent: An answer clears a request in the leased roles

A look-up that was served all the time was refused with 422 for ten minutes after two of its servers had been killed within that time: each broken connection counted, and nothing ever spoke for the request.

Entry instances now report answers to requests that they suspect, or that are quarantined, and the leader drops what it held against them until then. Its list is complete once it has been told what an instance holds, so what it lifts is lifted everywhere.

--- a/almondward/agent.h
+++ b/almondward/agent.h
@@ -215,6 +215,12 @@
 			    const uint8_t fingerprint[HASH_BYTES],
 			    const char *address, uint64_t incarnation);
 
+/*
+ * A server has run the request and answered: it crashes none. Does nothing
+ * unless the request is suspected or quarantined here.
+ */
+void agent_answered(struct agent *agent, const uint8_t fingerprint[HASH_BYTES]);
+
 /*
  * True once the leader has answered a report that named the crash.
  */
--- a/almondward/agent_crashes.c
+++ b/almondward/agent_crashes.c
@@ -35,6 +35,44 @@
 	return crash->ticket;
 }
 
+/*
+ * Returns whether there was one.
+ */
+static bool drop_crashes(struct agent *agent, const uint8_t *fingerprint)
+{
+	struct crash *crash, *next;
+	bool found = false;
+
+	DL_FOREACH_SAFE(agent->crashes, crash, next)
+	{
+		if (memcmp(crash->fingerprint, fingerprint, HASH_BYTES) != 0)
+			continue;
+		found = true;
+		DL_DELETE(agent->crashes, crash);
+		agent->nr_crashes--;
+		free(crash);
+	}
+	return found;
+}
+
+void agent_answered(struct agent *agent, const uint8_t fingerprint[HASH_BYTES])
+{
+	struct crash_answer *to;
+
+	if (!agent->crashes && !agent->quarantines)
+		return;
+	if (!drop_crashes(agent, fingerprint) &&
+	    !agent_quarantined(agent, fingerprint))
+		return;
+	if (agent->nr_answers == CRASH_ANSWERS_MAX)
+		return;
+	to = &agent->answers[agent->nr_answers++];
+	memcpy(to->fingerprint, fingerprint, HASH_BYTES);
+	to->at_ms = clk_now_ms(agent->clk);
+	to->reported = 0;
+	agent_report_soon(agent);
+}
+
 bool agent_crash_decided(const struct agent *agent, uint64_t ticket)
 {
 	const struct crash *crash;
@@ -49,6 +87,13 @@
 void crashes_confirm(struct agent *agent, uint64_t sequence)
 {
 	struct crash *crash;
+	size_t i, nr = 0;
+
+	for (i = 0; i < agent->nr_answers; i++)
+		if (!agent->answers[i].reported ||
+		    agent->answers[i].reported > sequence)
+			agent->answers[nr++] = agent->answers[i];
+	agent->nr_answers = nr;
 
 	for (crash = agent->crashes; crash; crash = crash->next) {
 		if (crash->reported && crash->reported <= sequence)
@@ -57,15 +102,21 @@
 }
 
 /*
- * A new leader starts with an empty list, so an entry that it does not name
- * stays in force here until its time.
+ * A new leader that has not been told of this one's list may not know all of
+ * it, so until then an entry that it does not name stays in force.
  */
 void crashes_apply(struct agent *agent, const Aw__Grant *grant)
 {
 	uint64_t now_ms = clk_now_ms(agent->clk);
-	struct quarantine *entry;
+	struct quarantine *entry, *next;
 	size_t i;
 
+	HASH_ITER(hh, agent->quarantines, entry, next)
+	{
+		if (!agent->whole_table_due)
+			entry->until_ms = 0;
+	}
+
 	for (i = 0; i < grant->n_quarantines; i++) {
 		const Aw__Quarantine *from = grant->quarantines[i];
 
--- a/almondward/agent_internal.h
+++ b/almondward/agent_internal.h
@@ -94,6 +94,15 @@
 	struct crash *prev, *next;
 };
 
+/* A request that was suspected of a crash was answered. */
+struct crash_answer {
+	uint8_t fingerprint[HASH_BYTES];
+	uint64_t at_ms;
+	uint64_t reported; /* sequence of the first report with it, 0: none */
+};
+
+#define CRASH_ANSWERS_MAX 64
+
 struct quarantine {
 	uint8_t fingerprint[HASH_BYTES];
 	uint64_t until_ms;
@@ -153,6 +162,8 @@
 	struct demand *demands;
 	struct crash *crashes;
 	size_t nr_crashes;
+	struct crash_answer answers[CRASH_ANSWERS_MAX];
+	size_t nr_answers;
 	uint64_t next_ticket;
 	struct quarantine *quarantines;
 	struct call *calls;
--- a/almondward/agent_report.c
+++ b/almondward/agent_report.c
@@ -21,6 +21,8 @@
 	Aw__Server **server_list;
 	Aw__CrashReport *crashes;
 	Aw__CrashReport **crash_list;
+	Aw__AnswerReport answers[CRASH_ANSWERS_MAX];
+	Aw__AnswerReport *answer_list[CRASH_ANSWERS_MAX];
 	Aw__Quarantine *quarantines;
 	Aw__Quarantine **quarantine_list;
 };
@@ -270,6 +272,27 @@
 	builder->report.n_crashes = nr;
 }
 
+static void add_answers(struct agent *agent, struct builder *builder)
+{
+	uint64_t now_ms = clk_now_ms(agent->clk);
+	size_t i;
+
+	for (i = 0; i < agent->nr_answers; i++) {
+		struct crash_answer *from = &agent->answers[i];
+		Aw__AnswerReport *to = &builder->answers[i];
+
+		aw__answer_report__init(to);
+		to->fingerprint.data = from->fingerprint;
+		to->fingerprint.len = HASH_BYTES;
+		to->age_ms = (uint32_t)(now_ms - from->at_ms);
+		if (!from->reported)
+			from->reported = agent->sequence;
+		builder->answer_list[i] = to;
+	}
+	builder->report.answers = builder->answer_list;
+	builder->report.n_answers = agent->nr_answers;
+}
+
 static void add_head(struct agent *agent, struct builder *builder)
 {
 	Aw__Report *report = &builder->report;
@@ -306,6 +329,7 @@
 	add_slots(agent, &builder);
 	add_servers(agent, &builder);
 	add_crashes(agent, &builder);
+	add_answers(agent, &builder);
 	add_quarantines(agent, &builder);
 	frame.body_case = AW__FRAME__BODY_REPORT;
 	frame.report = &builder.report;
--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -9507,7 +9507,7 @@
   (ProtobufCMessageInit) aw__answer_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor aw__report__field_descriptors[15] =
 {
   {
     "sequence",
@@ -9677,8 +9677,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answers",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Aw__Report, n_answers),
+    offsetof(Aw__Report, answers),
+    &aw__answer_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__report__field_indices_by_name[] = {
+  14,   /* field[14] = answers */
   8,   /* field[8] = crashes */
   6,   /* field[6] = demands */
   10,   /* field[10] = grant_sequence */
@@ -9697,7 +9710,7 @@
 static const ProtobufCIntRange aw__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor aw__report__descriptor =
 {
@@ -9707,7 +9720,7 @@
   "Aw__Report",
   "aw",
   sizeof(Aw__Report),
-  14,
+  15,
   aw__report__field_descriptors,
   aw__report__field_indices_by_name,
   1,  aw__report__number_ranges,
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -1475,10 +1475,12 @@
    */
   size_t n_quarantines;
   Aw__Quarantine **quarantines;
+  size_t n_answers;
+  Aw__AnswerReport **answers;
 };
 #define AW__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__report__descriptor) \
-    , 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Aw__Quarantine
--- a/almondward/control_soft.c
+++ b/almondward/control_soft.c
@@ -353,6 +353,11 @@
 		if (quar_crash(soft->quar, crash, server ? server->zone : ""))
 			count(soft, "crash_reports_refused", "");
 	}
+	for (i = 0; i < report->n_answers; i++)
+		if (report->answers[i]->fingerprint.len == HASH_BYTES)
+			quar_answered(soft->quar,
+				      report->answers[i]->fingerprint.data,
+				      report->answers[i]->age_ms);
 	for (i = 0; report->whole_table && i < report->n_quarantines; i++)
 		if (quar_hold(soft->quar, report->quarantines[i]))
 			count(soft, "quarantines_refused", "");
--- a/almondward/entry_dispatch.c
+++ b/almondward/entry_dispatch.c
@@ -330,6 +330,8 @@
 	uint64_t now_us = clk_now_us(core->clk);
 	uint32_t status = response->status;
 
+	if (status != 429 && status != 503)
+		agent_answered(core->agent, request->fingerprint);
 	if (!server || server->incarnation != request->attempt.incarnation)
 		return;
 	if (status == 429 || status == 503) {
--- a/tests/agent_test.cc
+++ b/tests/agent_test.cc
@@ -441,6 +441,45 @@
 	EXPECT_FALSE(agent_quarantined(a.agent, fingerprint));
 }
 
+// A request that was answered after a server was lost under it is innocent: the
+// leader hears of it, and what it lifts is lifted here.
+TEST(Agent, AnswerEndsTheSuspicion)
+{
+	AgentFake a;
+	AgentFake::GrantParts parts;
+	uint8_t fingerprint[HASH_BYTES] = { 1 }, other[HASH_BYTES] = { 2 };
+
+	a.lead();
+	parts.with_state = true;
+	a.grant(parts);
+	agent_answered(a.agent, fingerprint); // not suspected
+	agent_report_crash(a.agent, fingerprint, "s1", 1);
+	agent_answered(a.agent, other);
+	agent_answered(a.agent, fingerprint);
+	a.pass(10);
+	EXPECT_EQ(0u, a.report()->n_crashes);
+	ASSERT_EQ(1u, a.report()->n_answers);
+	EXPECT_EQ(1, a.report()->answers[0]->fingerprint.data[0]);
+	Aw__Quarantine one = AW__QUARANTINE__INIT;
+	one.fingerprint.data = fingerprint;
+	one.fingerprint.len = HASH_BYTES;
+	one.expires_in_ms = 60000;
+	AgentFake::GrantParts verdict;
+	verdict.table_version = 1;
+	verdict.quarantines.push_back(one);
+	a.grant(verdict);
+	EXPECT_TRUE(agent_quarantined(a.agent, fingerprint));
+	agent_answered(a.agent, fingerprint); // of a copy under way
+	a.pass(10);
+	ASSERT_EQ(1u, a.report()->n_answers);
+	AgentFake::GrantParts lifted;
+	lifted.table_version = 2;
+	a.grant(lifted);
+	EXPECT_FALSE(agent_quarantined(a.agent, fingerprint));
+	a.pass(500);
+	EXPECT_EQ(0u, a.report()->n_answers);
+}
+
 // A quarantine or a withdrawal must not wait for the next periodic report.
 TEST(Agent, GrantWithoutSequenceAsksForAReport)
 {
--- a/tests/process_entry.py
+++ b/tests/process_entry.py
@@ -35,6 +35,37 @@
     print(f"crashing look-up: {lost} servers lost in 12 sends")
 
 
+def killed_servers_condemn_no_request(fleet):
+    """Servers are killed one after the other under the same look-up, which is
+    served in between: it must not be quarantined."""
+    answers = []
+
+    def look_up(entry):
+        answers.append(fleet.get(entry, "/orders/5"))
+
+    servers = alive(fleet, "lookup")
+    for server in servers:
+        fleetlib.request(server.address, "POST", "/testserver/work_ms/300")
+    for server in servers[:3]:
+        # Twelve copies run on all servers.
+        threads = [threading.Thread(target=look_up, args=(entry,))
+                   for entry in fleet.entry_names * 4]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.15)
+        server.kill()
+        for thread in threads:
+            thread.join()
+        server.start()
+        fleetlib.wait_until("the look-up is served", lambda: fleet.get(
+            "entry-1", "/orders/5").status == 200, 5)
+        time.sleep(2.5)
+    for server in servers:
+        fleetlib.request(server.address, "POST", "/testserver/work_ms/5")
+    statuses = sorted({answer.status for answer in answers})
+    assert 422 not in statuses, statuses
+
+
 def crashing_lookup_after_restart(fleet):
     """A restart of all processes must not cost servers again."""
     before = len(alive(fleet, "lookup"))
@@ -234,7 +265,8 @@
         for case in (entry_killed_after_dispatch, restarted_server_same_address,
                      silent_connections, frozen_server, leaving_server,
                      planned_stop_during_upload, planned_stop_of_leader,
-                     crashing_commitment, crashing_lookup,
+                     crashing_commitment, killed_servers_condemn_no_request,
+                     crashing_lookup,
                      crashing_lookup_after_restart):
             checks.run(case.__name__, case, fleet)
         seen = sum(fleet.server_stats(s)["key_seen"] for s in fleet.servers
