gateway: Count sendings that end unanswered when their server starts again

Instances keep such sendings for ten seconds. If the table has a new start at the address by then, they are reported, at half weight: a zone without power looks the same. Nothing is told of the others.

The leader goes through its list five times a second, not with each tick.

--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -9389,12 +9389,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cold",
+    "weak",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Aw__CrashReport, cold),
+    offsetof(Aw__CrashReport, weak),
     NULL,
     NULL,
     0,             /* flags */
@@ -9427,13 +9427,13 @@
 };
 static const unsigned aw__crash_report__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
-  6,   /* field[6] = cold */
   5,   /* field[5] = ended */
   0,   /* field[0] = fingerprint */
   1,   /* field[1] = server_address */
   7,   /* field[7] = server_id */
   2,   /* field[2] = server_incarnation */
   4,   /* field[4] = took_ms */
+  6,   /* field[6] = weak */
   8,   /* field[8] = zone */
 };
 static const ProtobufCIntRange aw__crash_report__number_ranges[1 + 1] =
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -1400,9 +1400,12 @@
    */
   protobuf_c_boolean ended;
   /*
-   * the server was cold
+   * the server may have ended for another
+   */
+  protobuf_c_boolean weak;
+  /*
+   * reason: it was cold, or nothing broke
    */
-  protobuf_c_boolean cold;
   /*
    * in a seeded cluster
    */
--- a/almondward/control_cluster.h
+++ b/almondward/control_cluster.h
@@ -68,6 +68,7 @@
 	uint64_t fed_version;
 	uint64_t subscribe_ms; /* when the leader was asked last */
 	bool fed; /* by the leader link in use */
+	uint64_t quar_ms; /* when it was last gone through */
 	struct quar *quar; /* requests that crash servers, while leading */
 	uint64_t joined_ms; /* when the addresses were last looked at */
 };
--- a/almondward/control_crashes.c
+++ b/almondward/control_crashes.c
@@ -15,6 +15,8 @@
 #define LISTED_MAX 1024
 /* No version of a list: the records are to be compared with it. */
 #define UNRECORDED UINT64_MAX
+/* What has expired is looked for this often. */
+#define TICK_MS 200
 
 static Aw__Quarantine *list_create(const struct quar *quar, size_t *nr)
 {
@@ -37,7 +39,7 @@
 	size_t nr, i;
 
 	list = list_create(ctl->cluster->quar, &nr);
-	pointers = calloc(nr + 1, sizeof(*pointers));
+	pointers = calloc(nr + 1, sizeof(Aw__Quarantine *));
 	if (!list || !pointers) {
 		free(list);
 		free(pointers);
@@ -281,7 +283,10 @@
 
 void ctl_crashes_tick(struct ctl *ctl)
 {
-	quar_tick(ctl->cluster->quar);
+	if (clk_now_ms(ctl->clk) >= ctl->cluster->quar_ms + TICK_MS) {
+		ctl->cluster->quar_ms = clk_now_ms(ctl->clk);
+		quar_tick(ctl->cluster->quar);
+	}
 	ctl_quarantine_record(ctl, ctl->cluster->quar);
 }
 
--- a/almondward/crashes.c
+++ b/almondward/crashes.c
@@ -14,6 +14,9 @@
  * two have the same place. */
 #define ANSWERED_MAX 4096
 
+/* Sendings that ended without an answer or a break, of some seconds. */
+#define UNANSWERED_MAX 256
+
 struct report {
 	uint8_t fingerprint[HASH_BYTES];
 	char server_id[NAME_BYTES_MAX];
@@ -22,7 +25,7 @@
 	uint64_t incarnation;
 	uint64_t at_ms;
 	uint32_t took_ms;
-	bool cold;
+	bool weak;
 	bool ended;
 	bool is_news;
 };
@@ -54,6 +57,8 @@
 	struct report reports[CRS_REPORTS_MAX]; /* ring */
 	size_t nr_reports;
 	size_t next_report;
+	struct report unanswered[UNANSWERED_MAX]; /* ring */
+	size_t next_unanswered;
 	struct answer answers[CRS_ANSWERS_MAX];
 	size_t nr_answers;
 	struct answered answered[ANSWERED_MAX];
@@ -211,11 +216,26 @@
 	to->age_ms = (uint32_t)(clk_now_ms(crs->clk) - from->at_ms);
 	to->took_ms = from->took_ms;
 	to->ended = from->ended;
-	to->cold = from->cold;
+	to->weak = from->weak;
 	to->server_id = (char *)from->server_id;
 	to->zone = (char *)from->zone;
 }
 
+static void fill_report(const struct crs *crs, const struct crs_break *from,
+			struct report *to)
+{
+	memcpy(to->fingerprint, from->fingerprint, HASH_BYTES);
+	snprintf(to->server_id, sizeof(to->server_id), "%s", from->server_id);
+	snprintf(to->address, sizeof(to->address), "%s", from->address);
+	snprintf(to->zone, sizeof(to->zone), "%s", from->zone);
+	to->incarnation = from->incarnation;
+	to->at_ms = clk_now_ms(crs->clk);
+	to->took_ms = from->took_ms;
+	to->weak = from->weak;
+	to->ended = false;
+	to->is_news = false;
+}
+
 bool crs_broke(struct crs *crs, const struct crs_break *broke)
 {
 	uint64_t now_ms = clk_now_ms(crs->clk);
@@ -229,15 +249,7 @@
 	if (is_reported(crs, broke))
 		return true;
 	to = add_report(crs);
-	memcpy(to->fingerprint, broke->fingerprint, HASH_BYTES);
-	snprintf(to->server_id, sizeof(to->server_id), "%s", broke->server_id);
-	snprintf(to->address, sizeof(to->address), "%s", broke->address);
-	snprintf(to->zone, sizeof(to->zone), "%s", broke->zone);
-	to->incarnation = broke->incarnation;
-	to->at_ms = now_ms;
-	to->took_ms = broke->took_ms;
-	to->cold = broke->cold;
-	to->ended = false;
+	fill_report(crs, broke, to);
 	to->is_news = true;
 	fill_message(crs, to, &message);
 	/* Without memory only the leader counts it. */
@@ -250,6 +262,59 @@
 	return true;
 }
 
+void crs_unanswered(struct crs *crs, const struct crs_break *sending)
+{
+	struct report *to = &crs->unanswered[crs->next_unanswered];
+
+	crs->next_unanswered = (crs->next_unanswered + 1) % UNANSWERED_MAX;
+	fill_report(crs, sending, to);
+	to->weak = true;
+}
+
+/*
+ * The process may have ended under the request, though nothing broke.
+ */
+static void suspect_unanswered(struct crs *crs, struct report *from)
+{
+	struct crs_break broke = {
+		from->fingerprint, from->server_id, from->address, from->zone,
+		from->incarnation, from->took_ms,   true
+	};
+	uint64_t answered_ms = when_answered(crs, from->fingerprint);
+	Aw__CrashReport message;
+	struct report *to;
+
+	if (is_reported(crs, &broke) ||
+	    (answered_ms && from->at_ms <= answered_ms + QUAR_ANSWERED_MS))
+		return;
+	to = add_report(crs);
+	*to = *from;
+	to->ended = true;
+	to->is_news = true;
+	fill_message(crs, to, &message);
+	quar_crash(crs->own, &message, to->zone);
+}
+
+bool crs_started(struct crs *crs, const char *address, uint64_t incarnation)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk);
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < UNANSWERED_MAX; i++) {
+		struct report *at = &crs->unanswered[i];
+
+		if (!at->at_ms || at->incarnation >= incarnation ||
+		    now_ms >= at->at_ms + QUAR_END_KNOWN_MS ||
+		    strcmp(at->address, address) != 0)
+			continue;
+		suspect_unanswered(crs, at);
+		at->at_ms = 0;
+		found = true;
+	}
+	return found;
+}
+
 void crs_ended(struct crs *crs, const char *address, uint64_t incarnation)
 {
 	uint64_t now_ms = clk_now_ms(crs->clk);
--- a/almondward/crashes.h
+++ b/almondward/crashes.h
@@ -41,7 +41,7 @@
 	const char *zone;
 	uint64_t incarnation;
 	uint32_t took_ms; /* since the sending */
-	bool cold; /* the server */
+	bool weak; /* the server may end for another reason, as it is cold */
 };
 
 /* Who may send a request on trial. */
@@ -69,6 +69,17 @@
  */
 bool crs_broke(struct crs *crs, const struct crs_break *broke);
 
+/*
+ * The sending ended without an answer and without a break: the time was up, or
+ * the caller left. It counts if the server turns out to have ended.
+ */
+void crs_unanswered(struct crs *crs, const struct crs_break *sending);
+
+/*
+ * A process has started at that address. Returns whether that makes news.
+ */
+bool crs_started(struct crs *crs, const char *address, uint64_t incarnation);
+
 /*
  * Nothing listens at the address of that process any more, or another process
  * does.
--- a/almondward/fleet_quarantine.c
+++ b/almondward/fleet_quarantine.c
@@ -16,7 +16,7 @@
 	message_free(fleet->quarantines[nth]);
 	fleet->nr_quarantines--;
 	memmove(&fleet->quarantines[nth], &fleet->quarantines[nth + 1],
-		(fleet->nr_quarantines - nth) * sizeof(*fleet->quarantines));
+		(fleet->nr_quarantines - nth) * sizeof(Aw__QuarantineRecord *));
 }
 
 static bool is_valid(const Aw__QuarantineRecord *record)
@@ -47,8 +47,9 @@
 		return FLEET_ERR_MEMORY;
 	if (fleet->nr_quarantines == QUARANTINES_MAX)
 		forget(fleet, 0);
-	list = realloc(fleet->quarantines,
-		       (fleet->nr_quarantines + 1) * sizeof(*list));
+	list = realloc(
+		fleet->quarantines,
+		(fleet->nr_quarantines + 1) * sizeof(Aw__QuarantineRecord *));
 	if (!list) {
 		message_free(record);
 		return FLEET_ERR_MEMORY;
--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -125,30 +125,53 @@
 	start_probe(at);
 }
 
+static void describe(struct gw *gw, const uint8_t *fingerprint,
+		     const struct steer_server *server, uint32_t took_ms,
+		     struct crs_break *out)
+{
+	out->fingerprint = fingerprint;
+	out->server_id = steer_server_id(server);
+	out->address = steer_server_address(server);
+	out->zone = steer_server_zone(server);
+	out->incarnation = steer_server_incarnation(server);
+	out->took_ms = took_ms;
+	out->weak = steer_server_is_cold(gw->steer, server);
+}
+
+void gw_crash_unanswered(struct gw *gw, const uint8_t fingerprint[HASH_BYTES],
+			 const struct steer_server *server, uint32_t took_ms)
+{
+	struct crs_break sending;
+
+	if (steer_server_is_leaving(gw->steer, server))
+		return;
+	describe(gw, fingerprint, server, took_ms, &sending);
+	crs_unanswered(gw->crs, &sending);
+}
+
+void gw_crash_started(struct gw *gw, const Aw__Server *server)
+{
+	if (crs_started(gw->crs, server->address, server->incarnation))
+		gw_count(gw, "servers_ended", "unnoticed");
+}
+
 void gw_crash_broke(struct gw *gw, const uint8_t fingerprint[HASH_BYTES],
 		    const struct steer_server *server, uint32_t took_ms)
 {
-	struct crs_break broke = {
-		.fingerprint = fingerprint,
-		.server_id = steer_server_id(server),
-		.address = steer_server_address(server),
-		.zone = steer_server_zone(server),
-		.incarnation = steer_server_incarnation(server),
-		.took_ms = took_ms,
-		.cold = steer_server_is_cold(gw->steer, server),
-	};
 	char text[FPR_TEXT_BYTES];
+	struct crs_break broke;
 	bool suspected;
 
 	/* It was going to end. */
 	if (steer_server_is_leaving(gw->steer, server))
 		return;
+	describe(gw, fingerprint, server, took_ms, &broke);
 	suspected = crs_broke(gw->crs, &broke);
 	event_log(EVENT_CRASH,
 		  "request=%s server=%s outcome=%s took_ms=%u cold=%s",
 		  fpr_text(fingerprint, text), broke.server_id,
 		  suspected ? "suspected" : "answered_lately", took_ms,
-		  broke.cold ? "true" : "false");
+		  broke.weak ? "true" : "false");
 	if (!suspected)
 		return;
 	gw_count(gw, "requests_suspected", "");
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -227,6 +227,11 @@
 /* The connection to the server broke after the request was sent. */
 void gw_crash_broke(struct gw *gw, const uint8_t fingerprint[HASH_BYTES],
 		    const struct steer_server *server, uint32_t took_ms);
+/* The sending ended without an answer and without a break. */
+void gw_crash_unanswered(struct gw *gw, const uint8_t fingerprint[HASH_BYTES],
+			 const struct steer_server *server, uint32_t took_ms);
+/* The table has this start of a server. */
+void gw_crash_started(struct gw *gw, const Aw__Server *server);
 /* Another process has the address of the server. */
 void gw_crash_replaced(struct gw *gw, const struct steer_server *server);
 void gw_crash_answered(struct gw *gw, const uint8_t fingerprint[HASH_BYTES]);
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -175,6 +175,8 @@
 	}
 	for (i = 0; i < feed->n_controls; i++)
 		add_control(gw, feed->controls[i]);
+	for (i = 0; i < feed->n_servers; i++)
+		gw_crash_started(gw, feed->servers[i]);
 	if (is_first)
 		crs_tell_again(gw->crs);
 	gw_crash_tell(gw);
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -295,6 +295,26 @@
 	request->gw->nr_large_sent--;
 }
 
+static const uint8_t *fingerprint_of(struct gw_request *request)
+{
+	if (!request->has_fingerprint)
+		fpr_make(request->customer, request->req, NULL,
+			 request->fingerprint);
+	request->has_fingerprint = true;
+	return request->fingerprint;
+}
+
+static uint32_t sending_ms(const struct gw_request *request)
+{
+	return (uint32_t)(gw_now_ms(request->gw) - request->sending.sent_ms);
+}
+
+static void note_unanswered(struct gw_request *request)
+{
+	gw_crash_unanswered(request->gw, fingerprint_of(request),
+			    request->choice.server, sending_ms(request));
+}
+
 /*
  * The caller is gone: the server's work is of no use any more.
  */
@@ -305,6 +325,7 @@
 
 	gw_count(gw, "callers_left", request->conn ? "running" : "waiting");
 	if (request->conn) {
+		note_unanswered(request);
 		http_conn_destroy(request->conn);
 		end_large(request);
 		gw_slot_end(gw, &request->slot, COORD_UNTOLD);
@@ -337,7 +358,7 @@
 	struct gw_request *request = arg;
 	struct gw *gw = request->gw;
 
-	request->body_ms = (uint32_t)(gw_now_ms(gw) - request->sending.sent_ms);
+	request->body_ms = sending_ms(request);
 	end_large(request);
 	send_next_large(gw);
 }
@@ -440,15 +461,6 @@
 	}
 }
 
-static const uint8_t *fingerprint_of(struct gw_request *request)
-{
-	if (!request->has_fingerprint)
-		fpr_make(request->customer, request->req, NULL,
-			 request->fingerprint);
-	request->has_fingerprint = true;
-	return request->fingerprint;
-}
-
 /*
  * Whether requests like this one crash servers. A trial is granted for one
  * sending.
@@ -768,6 +780,8 @@
 	http_conn_destroy(conn);
 	if (outcome->result == HTTP_TIMEOUT &&
 	    gw_now_ms(request->gw) >= request->limit_ms) {
+		if (outcome->bytes_sent)
+			note_unanswered(request);
 		end_sending(request, STEER_CANCELLED, "time_is_up", NULL);
 		/* Nothing was sent if the connection never came about. */
 		refuse(request,
@@ -790,9 +804,7 @@
 	}
 	if (outcome->result == HTTP_CLOSED || outcome->result == HTTP_CUT)
 		gw_crash_broke(request->gw, fingerprint_of(request),
-			       request->choice.server,
-			       (uint32_t)(gw_now_ms(request->gw) -
-					  request->sending.sent_ms));
+			       request->choice.server, sending_ms(request));
 	end_sending(request,
 		    outcome->result == HTTP_CLOSED ||
 				    outcome->result == HTTP_CUT ?
--- a/almondward/quarantine.c
+++ b/almondward/quarantine.c
@@ -9,9 +9,10 @@
 
 #define SUSPECTS_MAX 8 /* server processes remembered for one request */
 #define LOSSES_MAX 1024
-/* Losses count in halves: a cold server may end by too many requests. */
+/* Losses count in halves: a cold server may end by too many requests, and one
+ * that broke no connection by anything. */
 #define UNITS 2
-#define UNITS_COLD 1
+#define UNITS_WEAK 1
 /* Servers lost under sendings that were under way together count for so many,
  * as a failure of more than one server ends them together too. */
 #define TOGETHER_MAX 2
@@ -40,7 +41,7 @@
 	uint64_t sent_ms; /* the request */
 	uint64_t at_ms; /* when the connection broke */
 	bool ended; /* the process */
-	bool cold;
+	bool weak;
 	bool cleared; /* lost in a failure of its zone */
 };
 
@@ -304,8 +305,8 @@
 		most = was_harmless(request, at) ? UNITS : together_max;
 		if (together >= most)
 			continue;
-		together += at->cold ? UNITS_COLD : UNITS;
-		sum += at->cold ? UNITS_COLD : UNITS;
+		together += at->weak ? UNITS_WEAK : UNITS;
+		sum += at->weak ? UNITS_WEAK : UNITS;
 	}
 	return sum;
 }
@@ -442,7 +443,7 @@
 	lost->at_ms = now_ms - crash->age_ms;
 	lost->sent_ms =
 		crash->took_ms < lost->at_ms ? lost->at_ms - crash->took_ms : 0;
-	lost->cold = crash->cold;
+	lost->weak = crash->weak;
 }
 
 enum quar_error quar_crash(struct quar *quar, const Aw__CrashReport *crash,
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -126,6 +126,7 @@
         self.lethal_s = 0.005     # from the begin of a request that ends it
         self.down_s = 1.0
         self.keeps_id = False     # when it starts again
+        self.is_dark = False      # no connection breaks when a request ends it
         self.notice = None        # "leaves", "pause": said in answers
         self.first_notice = None  # when it was first said
         self.last_arrival = 0.0
@@ -162,6 +163,23 @@
         self.tasks[0].cancel()
         self.tasks = [asyncio.create_task(self.start_again(down_s, same_id))]
 
+    def fall_silent(self, down_s):
+        """The host is gone: nothing answers until all starts again."""
+        if not self.is_down:
+            self.is_down = True
+            self.tasks[0].cancel()
+            self.tasks = [asyncio.create_task(self.come_back(down_s))]
+
+    async def come_back(self, down_s):
+        await asyncio.sleep(down_s)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await self.start_again(0, self.keeps_id)
+
+    async def never(self):
+        await asyncio.sleep(3600)
+
     async def start_again(self, down_s, same_id):
         await asyncio.sleep(down_s)
         self.starts += 1
@@ -226,6 +244,8 @@
             writer.write((f"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {self.name}\r\n"
                           f"X-Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n").encode())
             return True
+        if self.is_down:
+            await self.never()
         self.last_arrival = time.monotonic()
         if self.notice == "pause":
             return self.answer_pause(writer, request_id)
@@ -245,6 +265,9 @@
             await asyncio.sleep(self.lethal_s)
             if not self.is_down:
                 self.cluster.ended.append((time.monotonic(), self.name))
+            if self.is_dark:
+                self.fall_silent(self.down_s)
+                return await self.never()
             self.end(self.down_s, self.keeps_id)
             return False
         self.running += 1
--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -16,7 +16,7 @@
 	const char *address;
 	uint32_t took_ms = 5;
 	bool ended = true;
-	bool cold = false;
+	bool weak = false;
 	uint64_t incarnation = 1;
 	const char *zone = "z1";
 	uint32_t age_ms = 0;
@@ -45,7 +45,7 @@
 		msg.server_incarnation = from.incarnation;
 		msg.took_ms = from.took_ms;
 		msg.ended = from.ended;
-		msg.cold = from.cold;
+		msg.weak = from.weak;
 		msg.age_ms = from.age_ms;
 		ASSERT_EQ(QUAR_OK, quar_crash(quar, &msg, from.zone));
 	}
@@ -206,10 +206,10 @@
 	EXPECT_EQ(QUAR_REFUSED, state());
 }
 
-TEST_F(SeededQuar, ColdServersCountHalf)
+TEST_F(SeededQuar, WeakEvidenceCountsHalf)
 {
 	for (const char *address : { "s1", "s2", "s3" }) {
-		crash({ 1, address, .cold = true });
+		crash({ 1, address, .weak = true });
 		pass(3000);
 	}
 	EXPECT_EQ(QUAR_NONE, state());
@@ -399,6 +399,38 @@
 	EXPECT_FALSE(crs_news(at[0].crs, &news));
 }
 
+// A server that ends without breaking a connection starts again some time after
+// its callers have given up.
+TEST_F(CrsCase, UnansweredSendingCountsWhenTheServerStartsAgain)
+{
+	struct crs_break sending = {
+		fingerprint, "s1", "s1", "z", 5, 600, false
+	};
+	Aw__CrashNews news;
+
+	crs_unanswered(at[0].crs, &sending);
+	EXPECT_FALSE(crs_news(at[0].crs, &news));
+	EXPECT_FALSE(crs_started(at[0].crs, "s1", 5)); // the same process
+	EXPECT_FALSE(crs_started(at[0].crs, "s2", 6));
+	clk_advance_ms(clk, QUAR_END_KNOWN_MS - 1);
+	EXPECT_TRUE(crs_started(at[0].crs, "s1", 6));
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	ASSERT_EQ(1u, news.n_crashes);
+	EXPECT_TRUE(news.crashes[0]->ended);
+	EXPECT_TRUE(news.crashes[0]->weak);
+	crs_news_sent(at[0].crs);
+	EXPECT_FALSE(crs_started(at[0].crs, "s1", 7));
+	crs_unanswered(at[0].crs, &sending);
+	clk_advance_ms(clk, QUAR_END_KNOWN_MS);
+	EXPECT_FALSE(crs_started(at[0].crs, "s1", 8)); // too late
+	crs_unanswered(at[0].crs, &sending);
+	crs_answered(at[0].crs, fingerprint);
+	EXPECT_TRUE(crs_started(at[0].crs, "s1", 9));
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	EXPECT_EQ(0u, news.n_crashes); // answered at that time
+	EXPECT_EQ(1u, news.n_answers);
+}
+
 TEST_F(CrsCase, ReportsAreBounded)
 {
 	Aw__CrashNews news;
--- a/tests/process_crashes.py
+++ b/tests/process_crashes.py
@@ -115,6 +115,19 @@
         check_ended(cluster, SERVERS_MAX + LATER_MAX)
 
 
+async def servers_that_fall_silent(cluster):
+    """No connection breaks when such a server ends: its callers wait until their
+    time is up, or leave, and it starts again later."""
+    for server in cluster.servers.values():
+        server.is_dark, server.down_s = True, 1.5
+    for i in range(24):
+        await cluster.request(f"entry-{i % 4}", "/write/3", "POST", b"a lethal body",
+                              deadline_ms=600)
+        await asyncio.sleep(0.5)
+    check_later(cluster)
+    check_ended(cluster, SERVERS_MAX + LATER_MAX)
+
+
 async def few_servers(cluster):
     """Two servers: their processes count, as each ends again and again."""
     await repeats(cluster, "POST", b"a lethal body", 0.5, 30)
@@ -351,7 +364,7 @@
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [repeated_get_ends_few_servers, repeated_post_ends_few_servers,
              repeats_without_pause_end_few_servers, bursts_end_few_servers,
-             server_that_is_back_at_once, out_of_touch, restarts_and_new_leaders,
+             server_that_is_back_at_once, servers_that_fall_silent, out_of_touch, restarts_and_new_leaders,
              first_ends_before_a_new_leader, refusal_is_true,
              servers_that_end_by_themselves, failed_zone, first_copies_end_together, release,
              cold_start, broken_connections, beside_a_lethal_request]
