fingerprint: Tell the hosts of routes apart

The same path of the same customer on another host is another request: it was refused when the other was quarantined, and its answers would have cleared a request that crashes its servers. The host of the route is part of the fingerprint now, as the plan has it, since callers write it in several ways.

hosts_are_told_apart on the code before: the request on the other host got 503; now 200, and three spellings of one host count together.

--- a/almondward/entry_admission.c
+++ b/almondward/entry_admission.c
@@ -216,7 +216,7 @@
 	refusal = check_idempotency_key(request);
 	if (refusal)
 		return refusal;
-	fpr_make(request->customer, request->http, request->body_hash,
+	fpr_make(0, request->customer, request->http, request->body_hash,
 		 request->fingerprint);
 	if (agent_quarantined(request->core->agent, request->fingerprint))
 		return REFUSAL_QUARANTINED;
--- a/almondward/fingerprint.c
+++ b/almondward/fingerprint.c
@@ -11,8 +11,9 @@
 				  strlen(text) + 1);
 }
 
-void fpr_make(const char *customer, const struct http_request *req,
-	      uint8_t body_hash[HASH_BYTES], uint8_t out[HASH_BYTES])
+void fpr_make(uint64_t host, const char *customer,
+	      const struct http_request *req, uint8_t body_hash[HASH_BYTES],
+	      uint8_t out[HASH_BYTES])
 {
 	crypto_generichash_state state;
 	uint8_t own_hash[HASH_BYTES];
@@ -22,6 +23,7 @@
 	crypto_generichash(body_hash, HASH_BYTES, req->body, req->body_bytes,
 			   NULL, 0);
 	crypto_generichash_init(&state, NULL, 0, HASH_BYTES);
+	crypto_generichash_update(&state, (const uint8_t *)&host, sizeof(host));
 	add(&state, customer);
 	add(&state, req->method);
 	add(&state, req->target);
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -54,6 +54,7 @@
 	const struct http_request *req;
 	struct svc_request call;
 	char route[NAME_BYTES_MAX];
+	uint64_t host; /* hash of the route's */
 	char customer[NAME_BYTES_MAX]; /* "" on open routes */
 	char upstream[NAME_BYTES_MAX];
 	uint64_t plan_version;
@@ -298,7 +299,7 @@
 static const uint8_t *fingerprint_of(struct gw_request *request)
 {
 	if (!request->has_fingerprint)
-		fpr_make(request->customer, request->req, NULL,
+		fpr_make(request->host, request->customer, request->req, NULL,
 			 request->fingerprint);
 	request->has_fingerprint = true;
 	return request->fingerprint;
@@ -1143,6 +1144,7 @@
 
 	snprintf(request->route, sizeof(request->route), "%s", route->name);
 	snprintf(request->upstream, sizeof(request->upstream), "%s", upstream);
+	request->host = hash_text(route->host);
 	request->attempts_max = route->attempts_max;
 	set_times(request, route);
 	query->upstream = request->upstream;
--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "crashes.h"
+#include "fingerprint.h"
 
 namespace
 {
@@ -271,6 +272,31 @@
 	EXPECT_EQ(0u, quar_nr_requests(quar));
 }
 
+// A request on another host is another one: its answers must not clear this one,
+// nor may it be refused for this one.
+TEST(Fingerprint, NamesWhatAllSendingsHaveInCommon)
+{
+	struct http_request req = {};
+	uint8_t first[HASH_BYTES], other[HASH_BYTES], hash[HASH_BYTES];
+	char text[FPR_TEXT_BYTES];
+
+	req.method = "POST";
+	req.target = "/a/1";
+	req.body = (const uint8_t *)"body";
+	req.body_bytes = 4;
+	fpr_make(1, "kim", &req, nullptr, first);
+	fpr_make(1, "kim", &req, hash, other);
+	EXPECT_EQ(0, memcmp(first, other, HASH_BYTES));
+	EXPECT_EQ(16u, strlen(fpr_text(first, text)));
+	fpr_make(2, "kim", &req, nullptr, other);
+	EXPECT_NE(0, memcmp(first, other, HASH_BYTES));
+	fpr_make(1, "lee", &req, nullptr, other);
+	EXPECT_NE(0, memcmp(first, other, HASH_BYTES));
+	req.body = (const uint8_t *)"bodY";
+	fpr_make(1, "kim", &req, nullptr, other);
+	EXPECT_NE(0, memcmp(first, other, HASH_BYTES));
+}
+
 // ---- at one instance ----
 
 struct Instance {
--- a/tests/process_crashes.py
+++ b/tests/process_crashes.py
@@ -194,6 +194,32 @@
     check_ended(cluster, SERVERS_MAX)
 
 
+async def hosts_are_told_apart(cluster):
+    """Callers may write a host in several ways; the same path on another host is
+    another request, and its answers do not speak for this one."""
+    routes = [dict(route, name=f"{route['name']}-2", host="u.example")
+              for route in clusterlib.CONFIG["routes"]]
+    assert (await cluster.patch(1, 2, {"routes": routes})).status == 200
+    await asyncio.sleep(1)
+    cluster.is_lethal = lambda target, body: body == b"on one host"
+    spellings = ("t.example", "T.Example", "t.example:80")
+
+    async def post(host, body):
+        return await clusterlib.call(cluster.address("entry-0", "callers"), "POST", "/write/3", {
+            "Host": host, "X-Key": "key-kim", "X-Deadline-Ms": 2500,
+            "X-Request-Id": f"{cluster.rng.getrandbits(64):016x}"}, body)
+
+    for i in range(12):
+        await post(spellings[i % 3], b"on one host")
+        await asyncio.sleep(0.2)
+    check_ended(cluster, SERVERS_MAX)
+    cluster.is_lethal = lambda target, body: False
+    answer = await post("u.example", b"on one host")
+    assert answer and answer.status == 200, answer and answer.status
+    answer = await post("t.example", b"on one host")
+    assert answer and answer.status == 503, answer and answer.status
+
+
 async def refusal_is_true(cluster):
     """A refused request has not run, says when to come back, and others of the
     caller are served meanwhile."""
@@ -368,7 +394,7 @@
     cases = [repeated_get_ends_few_servers, repeated_post_ends_few_servers,
              repeats_without_pause_end_few_servers, bursts_end_few_servers,
              server_that_is_back_at_once, servers_that_fall_silent, out_of_touch, restarts_and_new_leaders,
-             first_ends_before_a_new_leader, refusal_is_true,
+             first_ends_before_a_new_leader, hosts_are_told_apart, refusal_is_true,
              servers_that_end_by_themselves, failed_zone, first_copies_end_together, release,
              cold_start, broken_connections, beside_a_lethal_request]
     chosen = sys.argv[2:]
