--- a/tests/process_crashes.py
+++ b/tests/process_crashes.py
@@ -2,6 +2,7 @@
 """Requests that end the backend servers that run them, and innocent requests
 on servers that end for other reasons, with real processes."""
 import asyncio
+import concurrent.futures
 import os
 import signal
 import sys
@@ -400,9 +401,11 @@
     chosen = sys.argv[2:]
     options = {case: OPTIONS for case in cases}
     options[few_servers] = dict(OPTIONS, nr_servers=2)
-    clusterlib.run_cases([
-        (case.__name__, lambda case=case: clusterlib.run_case(build, case, **options[case]))
-        for case in options if not chosen or case.__name__ in chosen])
+    # The cases mostly wait, so some run together, each with a cluster of its own.
+    with concurrent.futures.ThreadPoolExecutor(max_workers=3) as pool:
+        clusterlib.run_cases([
+            (case.__name__, pool.submit(clusterlib.run_case, build, case, **options[case]).result)
+            for case in options if not chosen or case.__name__ in chosen])
 
 
 if __name__ == "__main__":
