crashes: Report a break again when no end was found before

A connection that once broke while its server went on hid later breaks of the same request at the same server for ten minutes, so an end of that server was not counted. Found by reading; such a break is another one now after the ten seconds in which an end can become known.

CrsCase.BreakIsReportedAgainWhenNoEndWasFound failed before.

--- a/almondward/crashes.c
+++ b/almondward/crashes.c
@@ -184,16 +184,20 @@
 /* ---- broken connections ---- */
 
 /*
- * Copies of a request that ran on one server break together.
+ * Copies of a request that ran on one server break together. An earlier break
+ * without an end of the server is another one.
  */
 static bool is_reported(const struct crs *crs, const struct crs_break *broke)
 {
+	uint64_t now_ms = clk_now_ms(crs->clk);
 	size_t i;
 
 	for (i = 0; i < crs->nr_reports; i++) {
 		const struct report *at = &crs->reports[i];
 
-		if (at->at_ms && at->incarnation == broke->incarnation &&
+		if (at->at_ms &&
+		    (at->ended || now_ms < at->at_ms + QUAR_END_KNOWN_MS) &&
+		    at->incarnation == broke->incarnation &&
 		    !memcmp(at->fingerprint, broke->fingerprint, HASH_BYTES) &&
 		    !strcmp(at->address, broke->address))
 			return true;
--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -425,6 +425,23 @@
 	EXPECT_FALSE(crs_news(at[0].crs, &news));
 }
 
+// A connection that once broke while its server went on must not hide that a
+// later one broke because the server ended.
+TEST_F(CrsCase, BreakIsReportedAgainWhenNoEndWasFound)
+{
+	Aw__CrashNews news;
+
+	broke(0, "s1", false);
+	crs_news(at[0].crs, &news);
+	crs_news_sent(at[0].crs);
+	clk_advance_ms(clk, QUAR_END_KNOWN_MS);
+	broke(0, "s1");
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	ASSERT_EQ(1u, news.n_crashes);
+	EXPECT_TRUE(news.crashes[0]->ended);
+	EXPECT_EQ(0u, news.crashes[0]->age_ms);
+}
+
 // A server that ends without breaking a connection starts again some time after
 // its callers have given up.
 TEST_F(CrsCase, UnansweredSendingCountsWhenTheServerStartsAgain)
