--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -101,8 +101,6 @@
 	gw_crash_tell(gw);
 }
 
-static void start_probe(struct gw_probe *at);
-
 static void on_probed(void *arg, enum loop_probe_result result)
 {
 	struct gw_probe *at = arg;
