quarantine: Confirm a trial only by what was sent after it

Cause: a new leader that finds the record of a trial took any loss for its confirmation. Entry instances tell a new leader again of the losses that had led to the trial, so a change of the leader during a trial refused an innocent request whose copies had run on all servers when these ended together, for ten minutes.

Change: a loss confirms a trial only if its sending began after the trial was decided, which follows from the end of the record.

SeededQuar.LossesBeforeATrialDoNotConfirmIt failed before (refused instead of trial) and passes now.

--- a/almondward/quarantine.c
+++ b/almondward/quarantine.c
@@ -51,6 +51,7 @@
 	uint32_t nr_suspects;
 	uint32_t told; /* servers crashed, as an earlier leader counted */
 	enum quar_state held; /* as an earlier leader decided */
+	uint64_t decided_ms; /* when it did */
 	enum quar_state state;
 	uint64_t until_ms; /* of the state, 0: none */
 	uint64_t last_ms; /* of the last loss */
@@ -311,6 +312,21 @@
 	return sum;
 }
 
+/*
+ * Whether a sending that began after an earlier leader had decided on a trial
+ * ended its server. The instances tell of the losses before it once more.
+ */
+static bool is_confirmed(const struct request *request)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->nr_suspects; i++)
+		if (counts(&request->suspects[i]) &&
+		    request->suspects[i].sent_ms > request->decided_ms)
+			return true;
+	return false;
+}
+
 static enum quar_state judged(const struct quar *quar,
 			      const struct request *request)
 {
@@ -322,8 +338,7 @@
 	    weigh(request, true, most) >= limits->processes * UNITS)
 		return QUAR_REFUSED;
 	nr = weigh(request, true, UINT32_MAX) / UNITS;
-	/* A loss that follows a decision of an earlier leader confirms it. */
-	if (request->held == QUAR_TRIAL && nr_lost(request))
+	if (request->held == QUAR_TRIAL && is_confirmed(request))
 		return QUAR_REFUSED;
 	if (!limits->watched)
 		return QUAR_NONE;
@@ -547,6 +562,8 @@
 	if (!request)
 		return QUAR_ERR_MEMORY;
 	until_ms = now_ms + held->expires_in_ms;
+	request->decided_ms =
+		until_ms > QUARANTINE_MS ? until_ms - QUARANTINE_MS : 0;
 	request->last_ms = now_ms;
 	request->told = held->servers_crashed > quar->limits.servers ?
 				held->servers_crashed :
--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -252,6 +252,29 @@
 	EXPECT_EQ(QUAR_NONE, state());
 }
 
+// What a new leader is told again was known when the trial was decided: it must
+// not refuse a request whose servers were lost at one moment.
+TEST_F(SeededQuar, LossesBeforeATrialDoNotConfirmIt)
+{
+	uint8_t fingerprint[HASH_BYTES];
+	Aw__Quarantine held;
+
+	memset(fingerprint, 1, sizeof(fingerprint));
+	aw__quarantine__init(&held);
+	held.fingerprint.data = fingerprint;
+	held.fingerprint.len = sizeof(fingerprint);
+	held.expires_in_ms = QUARANTINE_MS - 1000;
+	held.state = AW__QUARANTINE_STATE__QUARANTINE_TRIAL;
+	ASSERT_EQ(QUAR_OK, quar_hold(quar, &held));
+	for (const char *address : { "s1", "s2", "s3", "s4" })
+		crash({ 1, address, .took_ms = 500, .zone = address,
+			.age_ms = 1000 });
+	EXPECT_EQ(QUAR_TRIAL, state());
+	pass(3000);
+	crash({ 1, "s5", .zone = "s5" });
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
 TEST_F(SeededQuar, WhatIsKeptIsBounded)
 {
 	struct quar_limits limits = quar_seeded;
