quarantine: Hold a suspected request while sendings of it are unresolved

Cause: a sending that ends without an answer and without a break shows that its server has ended only when that is back, 1.9 s later in this case. The instance told nobody until then. All seven losses were of this kind, so six halves were needed, and the seventh sending began before the sixth loss was known. It is not load: with 24 or 12 servers and no other process beside it, 5 to 8 ended, depending on the time that they stay silent.

Change: unanswered sendings of a request that is suspected or listed are told to the leader at once. When two servers have ended under the request, those that may yet turn out to have ended count too, as a trial, for 10 s at most. They take no place of known losses, and a broken connection to the same process replaces them.

--- a/almondward/crashes.c
+++ b/almondward/crashes.c
@@ -187,22 +187,23 @@
  * Copies of a request that ran on one server break together. An earlier break
  * without an end of the server is another one.
  */
-static bool is_reported(const struct crs *crs, const struct crs_break *broke)
+static struct report *find_report(struct crs *crs,
+				  const struct crs_break *broke)
 {
 	uint64_t now_ms = clk_now_ms(crs->clk);
 	size_t i;
 
 	for (i = 0; i < crs->nr_reports; i++) {
-		const struct report *at = &crs->reports[i];
+		struct report *at = &crs->reports[i];
 
 		if (at->at_ms &&
 		    (at->ended || now_ms < at->at_ms + QUAR_END_KNOWN_MS) &&
 		    at->incarnation == broke->incarnation &&
 		    !memcmp(at->fingerprint, broke->fingerprint, HASH_BYTES) &&
 		    !strcmp(at->address, broke->address))
-			return true;
+			return at;
 	}
-	return false;
+	return NULL;
 }
 
 static struct report *add_report(struct crs *crs)
@@ -247,24 +248,36 @@
 	to->is_peer_news = false;
 }
 
+static void tell_report(struct crs *crs, struct report *report)
+{
+	Aw__CrashReport message;
+
+	report->is_news = true;
+	report->is_peer_news = report->ended;
+	fill_message(crs, report, &message);
+	/* Without memory only the leader counts it. */
+	quar_crash(crs->own, &message, report->zone);
+}
+
 bool crs_broke(struct crs *crs, const struct crs_break *broke)
 {
 	uint64_t now_ms = clk_now_ms(crs->clk);
 	uint64_t answered_ms = when_answered(crs, broke->fingerprint);
 	bool harmless = answered_ms && now_ms <= answered_ms + QUAR_HARMLESS_MS;
-	Aw__CrashReport message;
 	struct report *to;
 
 	if (answered_ms && now_ms <= answered_ms + QUAR_ANSWERED_MS)
 		return false;
-	if (is_reported(crs, broke))
+	to = find_report(crs, broke);
+	if (to && to->weak && !broke->weak) {
+		to->weak = false;
+		tell_report(crs, to);
+	}
+	if (to)
 		return true;
 	to = add_report(crs);
 	fill_report(crs, broke, to);
-	to->is_news = true;
-	fill_message(crs, to, &message);
-	/* Without memory only the leader counts it. */
-	quar_crash(crs->own, &message, to->zone);
+	tell_report(crs, to);
 	if (harmless) {
 		quar_answered(crs->own, broke->fingerprint,
 			      (uint32_t)(now_ms - answered_ms));
@@ -273,38 +286,53 @@
 	return true;
 }
 
+/*
+ * NULL: the request was answered at that time.
+ */
+static struct report *report_unanswered(struct crs *crs,
+					const struct report *from)
+{
+	struct crs_break sending = { from->fingerprint, from->server_id,
+				     from->address,	from->zone,
+				     from->incarnation, from->took_ms,
+				     from->weak };
+	uint64_t answered_ms = when_answered(crs, from->fingerprint);
+	struct report *to = find_report(crs, &sending);
+
+	if (to)
+		return to;
+	if (answered_ms && from->at_ms <= answered_ms + QUAR_ANSWERED_MS)
+		return NULL;
+	to = add_report(crs);
+	*to = *from;
+	tell_report(crs, to);
+	return to;
+}
+
 void crs_unanswered(struct crs *crs, const struct crs_break *sending)
 {
 	struct report *to = &crs->unanswered[crs->next_unanswered];
+	const struct listed *listed = find_listed(crs, sending->fingerprint);
 
 	crs->next_unanswered = (crs->next_unanswered + 1) % UNANSWERED_MAX;
 	fill_report(crs, sending, to);
 	to->weak = true;
+	if ((listed && listed->state) ||
+	    quar_knows(crs->own, sending->fingerprint))
+		report_unanswered(crs, to);
 }
 
 /*
  * The process may have ended under the request, though nothing broke.
  */
-static void suspect_unanswered(struct crs *crs, struct report *from)
+static void suspect_unanswered(struct crs *crs, const struct report *from)
 {
-	struct crs_break broke = {
-		from->fingerprint, from->server_id, from->address, from->zone,
-		from->incarnation, from->took_ms,   true
-	};
-	uint64_t answered_ms = when_answered(crs, from->fingerprint);
-	Aw__CrashReport message;
-	struct report *to;
+	struct report *to = report_unanswered(crs, from);
 
-	if (is_reported(crs, &broke) ||
-	    (answered_ms && from->at_ms <= answered_ms + QUAR_ANSWERED_MS))
+	if (!to || to->ended)
 		return;
-	to = add_report(crs);
-	*to = *from;
 	to->ended = true;
-	to->is_news = true;
-	to->is_peer_news = true;
-	fill_message(crs, to, &message);
-	quar_crash(crs->own, &message, to->zone);
+	tell_report(crs, to);
 }
 
 bool crs_started(struct crs *crs, const char *address, uint64_t incarnation)
@@ -601,7 +629,7 @@
 	    strlen(from->server_address) >= ADDRESS_BYTES_MAX ||
 	    from->age_ms >= QUARANTINE_MS || from->age_ms >= now_ms ||
 	    !from->ended || quar_crash(crs->own, from, from->zone) ||
-	    is_reported(crs, &broke))
+	    find_report(crs, &broke))
 		return;
 	to = add_report(crs);
 	fill_report(crs, &broke, to);
--- a/almondward/crashes.h
+++ b/almondward/crashes.h
@@ -72,7 +72,8 @@
 
 /*
  * The sending ended without an answer and without a break: the time was up, or
- * the caller left. It counts if the server turns out to have ended.
+ * the caller left. It counts if the server turns out to have ended; until then
+ * the leader is told if the request is suspected or listed.
  */
 void crs_unanswered(struct crs *crs, const struct crs_break *sending);
 
--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -181,6 +181,7 @@
 		return;
 	describe(gw, fingerprint, server, took_ms, &sending);
 	crs_unanswered(gw->crs, &sending);
+	gw_crash_tell(gw);
 }
 
 void gw_crash_started(struct gw *gw, const Aw__Server *server)
--- a/almondward/quarantine.c
+++ b/almondward/quarantine.c
@@ -255,6 +255,24 @@
 	return suspect->ended && !suspect->cleared;
 }
 
+/*
+ * The sending got no answer, and its server may yet turn out to have ended.
+ */
+static bool is_unresolved(const struct suspect *suspect, uint64_t now_ms)
+{
+	return !suspect->ended && suspect->weak &&
+	       now_ms < suspect->at_ms + QUAR_END_KNOWN_MS;
+}
+
+static uint32_t nr_unresolved(const struct request *request, uint64_t now_ms)
+{
+	uint32_t i, nr = 0;
+
+	for (i = 0; i < request->nr_suspects; i++)
+		nr += is_unresolved(&request->suspects[i], now_ms);
+	return nr;
+}
+
 static uint32_t nr_lost(const struct request *request)
 {
 	uint32_t i, nr = 0;
@@ -332,19 +350,20 @@
 {
 	const struct quar_limits *limits = &quar->limits;
 	const uint32_t most = TOGETHER_MAX * UNITS;
-	uint32_t nr;
+	uint32_t sum;
 
 	if (weigh(request, false, most) >= limits->servers * UNITS ||
 	    weigh(request, true, most) >= limits->processes * UNITS)
 		return QUAR_REFUSED;
-	nr = weigh(request, true, UINT32_MAX) / UNITS;
 	if (request->held == QUAR_TRIAL && is_confirmed(request))
 		return QUAR_REFUSED;
 	if (!limits->watched)
 		return QUAR_NONE;
-	if (nr >= limits->processes)
-		return QUAR_TRIAL;
-	return nr >= limits->watched ? QUAR_WATCHED : QUAR_NONE;
+	sum = weigh(request, true, UINT32_MAX);
+	if (sum < limits->watched * UNITS)
+		return QUAR_NONE;
+	sum += nr_unresolved(request, clk_now_ms(quar->clk)) * UNITS_WEAK;
+	return sum >= limits->processes * UNITS ? QUAR_TRIAL : QUAR_WATCHED;
 }
 
 static void judge(struct quar *quar, struct request *request, uint64_t now_ms)
@@ -401,6 +420,19 @@
 		request->suspects[i] = request->suspects[i + 1];
 }
 
+/*
+ * The first and the last losses tell those apart that were together.
+ */
+static uint32_t least_telling(const struct request *request)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->nr_suspects; i++)
+		if (!request->suspects[i].ended)
+			return i;
+	return 1;
+}
+
 static struct suspect *get_suspect(struct request *request,
 				   const struct suspect *lost)
 {
@@ -413,9 +445,8 @@
 		    !strcmp(at->address, lost->address))
 			return at;
 	}
-	/* The first and the last ones tell losses apart that were together. */
 	if (request->nr_suspects == SUSPECTS_MAX)
-		remove_suspect(request, 1);
+		remove_suspect(request, least_telling(request));
 	for (i = request->nr_suspects;
 	     i && request->suspects[i - 1].at_ms > lost->at_ms; i--)
 		request->suspects[i] = request->suspects[i - 1];
@@ -481,11 +512,19 @@
 	    lost.at_ms <= request->answered_ms + QUAR_ANSWERED_MS)
 		return QUAR_OK;
 	suspect = get_suspect(request, &lost);
+	/* A copy may have told less. */
+	if (suspect->weak && !lost.weak) {
+		suspect->weak = false;
+		judge(quar, request, now_ms);
+	}
 	if (crash->ended || !quar->limits.needs_end)
 		return note_end(quar, request, suspect);
+	if (suspect->ended)
+		return QUAR_OK;
 	if (request->last_ms < lost.at_ms)
 		request->last_ms = lost.at_ms;
 	quar->nr_unknown++;
+	judge(quar, request, now_ms);
 	return QUAR_OK;
 }
 
@@ -583,9 +622,10 @@
 /*
  * A connection that broke while its server went on shows nothing.
  */
-static void drop_unknown(struct request *request, uint64_t now_ms)
+static void drop_unknown(struct quar *quar, struct request *request,
+			 uint64_t now_ms)
 {
-	uint32_t i = 0;
+	uint32_t i = 0, nr = request->nr_suspects;
 
 	while (i < request->nr_suspects) {
 		if (!request->suspects[i].ended &&
@@ -594,6 +634,8 @@
 		else
 			i++;
 	}
+	if (request->nr_suspects < nr)
+		judge(quar, request, now_ms);
 }
 
 static bool is_over(const struct request *request, uint64_t now_ms)
@@ -620,7 +662,7 @@
 	}
 	HASH_ITER(hh, quar->requests, request, next)
 	{
-		drop_unknown(request, now_ms);
+		drop_unknown(quar, request, now_ms);
 		if (is_over(request, now_ms)) {
 			drop_request(quar, request);
 			continue;
--- a/almondward/quarantine.h
+++ b/almondward/quarantine.h
@@ -40,8 +40,9 @@
 enum quar_state {
 	QUAR_NONE,
 	QUAR_WATCHED, /* served, but not sent again by itself */
-	QUAR_TRIAL, /* its servers were lost at one moment: one sending at a
-		       time shows whether it or something else ended them */
+	QUAR_TRIAL, /* its servers were lost at one moment, or may turn out to
+		       have ended: one sending at a time shows whether it or
+		       something else ended them */
 	QUAR_REFUSED
 };
 
@@ -70,7 +71,8 @@
 void quar_destroy(struct quar *quar);
 
 /*
- * A connection broke after the request was sent. Repeating a report changes
+ * A connection broke after the request was sent, or (weak) it was not answered.
+ * Repeating a report changes
  * nothing, but may tell that the server has ended. zone is "" when the server
  * is not known.
  */
--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -221,6 +221,71 @@
 	EXPECT_EQ(QUAR_REFUSED, state());
 }
 
+// Servers that fall silent are known to have ended only when they are back: what
+// is sent meanwhile must not end more of them.
+TEST_F(SeededQuar, UnresolvedSendingsHoldASuspectedRequest)
+{
+	for (const char *address : { "s1", "s2", "s3", "s4" }) {
+		EXPECT_EQ(QUAR_NONE, state());
+		crash({ 1, address, .weak = true });
+		pass(1000);
+	}
+	crash({ 1, "s5", .ended = false, .weak = true });
+	EXPECT_EQ(QUAR_WATCHED, state());
+	pass(1000);
+	crash({ 1, "s6", .ended = false, .weak = true });
+	EXPECT_EQ(QUAR_TRIAL, state());
+	pass(QUAR_END_KNOWN_MS);
+	EXPECT_EQ(QUAR_WATCHED, state()); // these servers went on
+	crash({ 1, "s7", .ended = false, .weak = true });
+	pass(1000);
+	crash({ 1, "s8", .ended = false, .weak = true });
+	quar_started(quar, "s7", 2);
+	EXPECT_EQ(QUAR_TRIAL, state());
+	quar_started(quar, "s8", 2);
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
+// Callers that give up on a slow service show nothing about its servers.
+TEST_F(SeededQuar, UnresolvedSendingsAloneShowNothing)
+{
+	for (const char *address :
+	     { "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9" }) {
+		crash({ 1, address, .ended = false, .weak = true });
+		pass(500);
+	}
+	EXPECT_EQ(QUAR_NONE, state());
+}
+
+// What is not known to have ended must not take the place of what is.
+TEST_F(SeededQuar, UnresolvedSendingsHideNoLoss)
+{
+	const std::vector<std::string> slow = { "t1", "t2", "t3", "t4", "t5",
+						"t6", "t7", "t8", "t9" };
+
+	for (const char *address : { "s1", "s2" }) {
+		crash({ 1, address });
+		pass(300);
+	}
+	for (const auto &address : slow) {
+		crash({ 1, address.c_str(), .ended = false, .weak = true });
+		pass(300);
+	}
+	crash({ 1, "s3" });
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
+// The caller of one copy left before the connection of another one broke.
+TEST_F(SeededQuar, BrokenConnectionShowsMoreThanAnUnansweredSending)
+{
+	for (const char *address : { "s1", "s2", "s3" }) {
+		crash({ 1, address, .weak = true });
+		crash({ 1, address });
+		pass(300);
+	}
+	EXPECT_EQ(QUAR_REFUSED, state());
+}
+
 TEST_F(SeededQuar, FailedZoneShowsNothingOfARequestOnHalfOfIt)
 {
 	crash({ 1, "s1" });
@@ -497,6 +562,51 @@
 	EXPECT_EQ(1u, news.n_answers);
 }
 
+// The leader holds back a suspected request before the end of a silent server is
+// known, if it is told of the sending.
+TEST_F(CrsCase, UnansweredSendingOfASuspectedRequestIsToldAtOnce)
+{
+	struct crs_break sending = {
+		fingerprint, "s2", "s2", "z", 5, 600, false
+	};
+	Aw__CrashNews news;
+
+	broke(0, "s1");
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	crs_news_sent(at[0].crs);
+	crs_unanswered(at[0].crs, &sending);
+	crs_unanswered(at[0].crs, &sending);
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	ASSERT_EQ(1u, news.n_crashes);
+	EXPECT_STREQ("s2", news.crashes[0]->server_id);
+	EXPECT_FALSE(news.crashes[0]->ended);
+	EXPECT_TRUE(news.crashes[0]->weak);
+	crs_news_sent(at[0].crs);
+	EXPECT_TRUE(crs_started(at[0].crs, "s2", 6));
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	ASSERT_EQ(1u, news.n_crashes);
+	EXPECT_TRUE(news.crashes[0]->ended);
+	crs_news_sent(at[0].crs);
+	// A broken connection to the same process shows more.
+	sending.server_id = sending.address = "s3";
+	crs_unanswered(at[0].crs, &sending);
+	EXPECT_TRUE(crs_broke(at[0].crs, &sending));
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	ASSERT_EQ(1u, news.n_crashes);
+	EXPECT_FALSE(news.crashes[0]->weak);
+	// Also at an instance that knows of the request from the leader only.
+	follow(1, AW__QUARANTINE_STATE__QUARANTINE_WATCHED);
+	crs_unanswered(at[1].crs, &sending);
+	EXPECT_TRUE(crs_news(at[1].crs, &news));
+	// An answer clears it.
+	crs_answered(at[0].crs, fingerprint);
+	crs_news(at[0].crs, &news);
+	crs_news_sent(at[0].crs);
+	sending.server_id = sending.address = "s4";
+	crs_unanswered(at[0].crs, &sending);
+	EXPECT_FALSE(crs_news(at[0].crs, &news));
+}
+
 // Instances without a leader count together, and tell each thing once.
 TEST_F(CrsCase, InstancesTellEachOther)
 {
