quarantine: Count unresolved sendings from the first loss on

Cause: the first end was known after 7.5 s, and until four of such halves were known, unresolved sendings did not count. Instances told of unresolved sendings only once they knew of an end. A trial was sent while the last one was still unresolved.

Change: an instance that got no answer to a request from two servers tells the leader of both sendings. They count from the first known loss on. Once two servers have ended, no trial is sent until the unresolved sendings are resolved (10 s at most); the list of the leader says so, and Retry-After follows it.

Four unit tests failed before (UnresolvedSendingsHoldARequestAfterItsFirstLoss, SecondUnansweredSendingIsToldWithTheFirst, TrialWaitsForUnresolvedSendings, NoTrialUntilSendingsAreResolvedOnceTwoServersEnded).

--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -9727,7 +9727,7 @@
   (ProtobufCMessageInit) aw__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__quarantine__field_descriptors[6] =
+static const ProtobufCFieldDescriptor aw__quarantine__field_descriptors[7] =
 {
   {
     "fingerprint",
@@ -9801,6 +9801,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unresolved_for_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Quarantine, unresolved_for_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__quarantine__field_indices_by_name[] = {
   1,   /* field[1] = expires_in_ms */
@@ -9809,11 +9821,12 @@
   5,   /* field[5] = last_age_ms */
   2,   /* field[2] = servers_crashed */
   3,   /* field[3] = state */
+  6,   /* field[6] = unresolved_for_ms */
 };
 static const ProtobufCIntRange aw__quarantine__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor aw__quarantine__descriptor =
 {
@@ -9823,7 +9836,7 @@
   "Aw__Quarantine",
   "aw",
   sizeof(Aw__Quarantine),
-  6,
+  7,
   aw__quarantine__field_descriptors,
   aw__quarantine__field_indices_by_name,
   1,  aw__quarantine__number_ranges,
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -1501,10 +1501,14 @@
    * since the last one
    */
   uint32_t last_age_ms;
+  /*
+   * no trial until then
+   */
+  uint32_t unresolved_for_ms;
 };
 #define AW__QUARANTINE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__quarantine__descriptor) \
-    , {0,NULL}, 0, 0, AW__QUARANTINE_STATE__QUARANTINE_REFUSED, 0, 0 }
+    , {0,NULL}, 0, 0, AW__QUARANTINE_STATE__QUARANTINE_REFUSED, 0, 0, 0 }
 
 
 /*
--- a/almondward/crashes.c
+++ b/almondward/crashes.c
@@ -48,6 +48,7 @@
 	enum quar_state state; /* by the leader; QUAR_NONE: own trial only */
 	uint64_t until_ms;
 	uint64_t last_ms; /* when a server was last lost */
+	uint64_t resolved_ms; /* no trial before */
 	uint64_t used_turn; /* in which a trial was sent */
 	bool is_named; /* in the list that is being taken */
 	UT_hash_handle hh;
@@ -309,6 +310,35 @@
 	return to;
 }
 
+static bool is_of(const struct crs *crs, const struct report *report,
+		  const uint8_t *fingerprint)
+{
+	return report->at_ms &&
+	       clk_now_ms(crs->clk) < report->at_ms + QUAR_END_KNOWN_MS &&
+	       !memcmp(report->fingerprint, fingerprint, HASH_BYTES);
+}
+
+static void report_all_unanswered(struct crs *crs, const uint8_t *fingerprint)
+{
+	size_t i;
+
+	for (i = 0; i < UNANSWERED_MAX; i++)
+		if (is_of(crs, &crs->unanswered[i], fingerprint))
+			report_unanswered(crs, &crs->unanswered[i]);
+}
+
+static bool is_unanswered_elsewhere(const struct crs *crs,
+				    const struct crs_break *sending)
+{
+	size_t i;
+
+	for (i = 0; i < UNANSWERED_MAX; i++)
+		if (is_of(crs, &crs->unanswered[i], sending->fingerprint) &&
+		    strcmp(crs->unanswered[i].address, sending->address) != 0)
+			return true;
+	return false;
+}
+
 void crs_unanswered(struct crs *crs, const struct crs_break *sending)
 {
 	struct report *to = &crs->unanswered[crs->next_unanswered];
@@ -318,8 +348,9 @@
 	fill_report(crs, sending, to);
 	to->weak = true;
 	if ((listed && listed->state) ||
-	    quar_knows(crs->own, sending->fingerprint))
-		report_unanswered(crs, to);
+	    quar_knows(crs->own, sending->fingerprint) ||
+	    is_unanswered_elsewhere(crs, sending))
+		report_all_unanswered(crs, to->fingerprint);
 }
 
 /*
@@ -333,6 +364,7 @@
 		return;
 	to->ended = true;
 	tell_report(crs, to);
+	report_all_unanswered(crs, from->fingerprint);
 }
 
 bool crs_started(struct crs *crs, const char *address, uint64_t incarnation)
@@ -419,6 +451,10 @@
 					 QUARANTINE_MS);
 	at->last_ms = from->last_age_ms < now_ms ? now_ms - from->last_age_ms :
 						   0;
+	at->resolved_ms =
+		now_ms + (from->unresolved_for_ms < QUAR_END_KNOWN_MS ?
+				  from->unresolved_for_ms :
+				  QUAR_END_KNOWN_MS);
 	answered_ms = when_answered(crs, at->fingerprint);
 	first_ms = from->first_age_ms < now_ms ? now_ms - from->first_age_ms :
 						 0;
@@ -520,12 +556,17 @@
 	}
 	if (own_ms > last_ms)
 		last_ms = own_ms;
+	if (at && at->resolved_ms > last_ms + QUAR_TRIAL_MS)
+		last_ms = at->resolved_ms - QUAR_TRIAL_MS;
 	if (verdict->state != QUAR_TRIAL)
 		return;
 	if (take_trial(crs, fingerprint, place, last_ms))
 		return;
 	verdict->state = QUAR_REFUSED;
 	verdict->retry_after_ms = CRS_TURN_MS;
+	if (last_ms + QUAR_TRIAL_MS > now_ms + CRS_TURN_MS)
+		verdict->retry_after_ms =
+			(uint32_t)(last_ms + QUAR_TRIAL_MS - now_ms);
 }
 
 /* ---- news for the leader ---- */
--- a/almondward/crashes.h
+++ b/almondward/crashes.h
@@ -73,7 +73,8 @@
 /*
  * The sending ended without an answer and without a break: the time was up, or
  * the caller left. It counts if the server turns out to have ended; until then
- * the leader is told if the request is suspected or listed.
+ * the leader is told if the request is suspected or listed, or was not answered
+ * by another server before.
  */
 void crs_unanswered(struct crs *crs, const struct crs_break *sending);
 
--- a/almondward/quarantine.c
+++ b/almondward/quarantine.c
@@ -350,7 +350,7 @@
 {
 	const struct quar_limits *limits = &quar->limits;
 	const uint32_t most = TOGETHER_MAX * UNITS;
-	uint32_t sum;
+	uint32_t sum, unresolved;
 
 	if (weigh(request, false, most) >= limits->servers * UNITS ||
 	    weigh(request, true, most) >= limits->processes * UNITS)
@@ -360,10 +360,12 @@
 	if (!limits->watched)
 		return QUAR_NONE;
 	sum = weigh(request, true, UINT32_MAX);
-	if (sum < limits->watched * UNITS)
+	if (!sum)
 		return QUAR_NONE;
-	sum += nr_unresolved(request, clk_now_ms(quar->clk)) * UNITS_WEAK;
-	return sum >= limits->processes * UNITS ? QUAR_TRIAL : QUAR_WATCHED;
+	unresolved = nr_unresolved(request, clk_now_ms(quar->clk));
+	if (sum + unresolved * UNITS_WEAK >= limits->processes * UNITS)
+		return QUAR_TRIAL;
+	return sum >= limits->watched * UNITS ? QUAR_WATCHED : QUAR_NONE;
 }
 
 static void judge(struct quar *quar, struct request *request, uint64_t now_ms)
@@ -731,6 +733,29 @@
 	return request->last_ms;
 }
 
+/*
+ * Once two servers have ended under a request, a trial beside sendings that may
+ * turn out to have ended more of them is put off.
+ */
+static uint32_t unresolved_for_ms(const struct quar *quar,
+				  const struct request *request)
+{
+	uint64_t now_ms = clk_now_ms(quar->clk), until_ms = now_ms;
+	uint32_t i;
+
+	if (request->state != QUAR_TRIAL ||
+	    weigh(request, true, UINT32_MAX) < quar->limits.watched * UNITS)
+		return 0;
+	for (i = 0; i < request->nr_suspects; i++) {
+		const struct suspect *at = &request->suspects[i];
+
+		if (is_unresolved(at, now_ms) &&
+		    at->at_ms + QUAR_END_KNOWN_MS > until_ms)
+			until_ms = at->at_ms + QUAR_END_KNOWN_MS;
+	}
+	return (uint32_t)(until_ms - now_ms);
+}
+
 size_t quar_list(const struct quar *quar, Aw__Quarantine *list, size_t max)
 {
 	uint64_t now_ms = clk_now_ms(quar->clk);
@@ -752,6 +777,7 @@
 		list[nr].first_age_ms =
 			(uint32_t)(now_ms - first_lost_ms(request));
 		list[nr].last_age_ms = (uint32_t)(now_ms - request->last_ms);
+		list[nr].unresolved_for_ms = unresolved_for_ms(quar, request);
 		nr++;
 	}
 	return nr;
--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -246,6 +246,43 @@
 	EXPECT_EQ(QUAR_REFUSED, state());
 }
 
+// Servers that stay silent for long: when the first one is back, many more may
+// have ended.
+TEST_F(SeededQuar, UnresolvedSendingsHoldARequestAfterItsFirstLoss)
+{
+	for (const char *address : { "s1", "s2", "s3", "s4", "s5", "s6" }) {
+		EXPECT_EQ(QUAR_NONE, state());
+		crash({ 1, address, .ended = false, .weak = true });
+		pass(1000);
+	}
+	EXPECT_EQ(QUAR_NONE, state());
+	quar_started(quar, "s1", 2);
+	EXPECT_EQ(QUAR_TRIAL, state());
+	pass(QUAR_END_KNOWN_MS);
+	EXPECT_EQ(QUAR_NONE, state()); // the others went on
+}
+
+// A trial beside sendings that are unresolved would cost one more server.
+TEST_F(SeededQuar, NoTrialUntilSendingsAreResolvedOnceTwoServersEnded)
+{
+	Aw__Quarantine listed;
+
+	for (const char *address : { "s1", "s2" }) {
+		crash({ 1, address });
+		pass(300);
+	}
+	crash({ 1, "s3", .ended = false, .weak = true });
+	crash({ 1, "s4", .ended = false, .weak = true });
+	pass(1000);
+	ASSERT_EQ(1u, quar_list(quar, &listed, 1));
+	EXPECT_EQ(AW__QUARANTINE_STATE__QUARANTINE_TRIAL, listed.state);
+	EXPECT_EQ(QUAR_END_KNOWN_MS - 1000u, listed.unresolved_for_ms);
+	pass(QUAR_END_KNOWN_MS - 1000);
+	ASSERT_EQ(1u, quar_list(quar, &listed, 1));
+	EXPECT_EQ(AW__QUARANTINE_STATE__QUARANTINE_WATCHED, listed.state);
+	EXPECT_EQ(0u, listed.unresolved_for_ms);
+}
+
 // Callers that give up on a slow service show nothing about its servers.
 TEST_F(SeededQuar, UnresolvedSendingsAloneShowNothing)
 {
@@ -446,7 +483,8 @@
 	}
 
 	void follow(size_t i, Aw__QuarantineState state,
-		    uint32_t first_age_ms = 0, uint32_t last_age_ms = 0)
+		    uint32_t first_age_ms = 0, uint32_t last_age_ms = 0,
+		    uint32_t unresolved_for_ms = 0)
 	{
 		Aw__Quarantine one, *pointer = &one;
 		Aw__Feed feed;
@@ -458,6 +496,7 @@
 		one.state = state;
 		one.first_age_ms = first_age_ms;
 		one.last_age_ms = last_age_ms;
+		one.unresolved_for_ms = unresolved_for_ms;
 		aw__feed__init(&feed);
 		feed.quarantines = &pointer;
 		feed.n_quarantines = 1;
@@ -607,6 +646,31 @@
 	EXPECT_FALSE(crs_news(at[0].crs, &news));
 }
 
+// An instance cannot know that the request is suspected elsewhere, but sees that
+// it was not answered twice.
+TEST_F(CrsCase, SecondUnansweredSendingIsToldWithTheFirst)
+{
+	struct crs_break sending = {
+		fingerprint, "s1", "s1", "z", 5, 600, false
+	};
+	Aw__CrashNews news;
+
+	crs_unanswered(at[0].crs, &sending);
+	crs_unanswered(at[0].crs, &sending); // a copy on the same server
+	EXPECT_FALSE(crs_news(at[0].crs, &news));
+	clk_advance_ms(clk, QUAR_END_KNOWN_MS);
+	sending.address = "s2";
+	crs_unanswered(at[0].crs, &sending);
+	EXPECT_FALSE(crs_news(at[0].crs, &news)); // the first is resolved
+	clk_advance_ms(clk, 1000);
+	sending.address = "s3";
+	crs_unanswered(at[0].crs, &sending);
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	EXPECT_EQ(2u, news.n_crashes);
+	EXPECT_FALSE(news.crashes[0]->ended);
+	EXPECT_FALSE(news.crashes[1]->ended);
+}
+
 // Instances without a leader count together, and tell each thing once.
 TEST_F(CrsCase, InstancesTellEachOther)
 {
@@ -742,6 +806,22 @@
 }
 
 // Several instances that try at once would each cost a server.
+TEST_F(CrsCase, TrialWaitsForUnresolvedSendings)
+{
+	uint32_t retry_after_ms;
+
+	follow(0, AW__QUARANTINE_STATE__QUARANTINE_TRIAL, 9000, 5000, 6000);
+	list.resize(1);
+	EXPECT_EQ(QUAR_REFUSED, judge(0, &retry_after_ms));
+	EXPECT_EQ(6000u, retry_after_ms);
+	clk_advance_ms(clk, 5999);
+	EXPECT_EQ(QUAR_REFUSED, judge(0));
+	clk_advance_ms(clk, 1);
+	EXPECT_EQ(QUAR_TRIAL, judge(0));
+	EXPECT_EQ(QUAR_REFUSED, judge(0, &retry_after_ms));
+	EXPECT_EQ((uint32_t)CRS_TURN_MS, retry_after_ms);
+}
+
 TEST_F(CrsCase, OneInstanceAtATimeSendsATrial)
 {
 	size_t trials = 0;
--- a/tests/process_crashes.py
+++ b/tests/process_crashes.py
@@ -129,6 +129,17 @@
     check_ended(cluster, SERVERS_MAX + LATER_MAX)
 
 
+async def servers_that_stay_silent(cluster):
+    """Several may have ended before the first one is back and shows it."""
+    for server in cluster.servers.values():
+        server.is_dark, server.down_s = True, 7.0
+    for i in range(24):
+        await cluster.request(f"entry-{i % 4}", "/write/3", "POST", b"a lethal body",
+                              deadline_ms=600)
+        await asyncio.sleep(0.5)
+    check_later(cluster)
+
+
 async def few_servers(cluster):
     """Two servers: their processes count, as each ends again and again."""
     await repeats(cluster, "POST", b"a lethal body", 0.5, 30)
@@ -324,6 +335,33 @@
     await cluster.wait("the request is served", is_served, 12)
 
 
+async def slow_servers_and_one_end(cluster):
+    """Callers give up on a slow service, and one of its servers ends: once it
+    answers again, so does every instance."""
+    for server in cluster.servers.values():
+        server.work_s = 1.5
+
+    async def copies():
+        return await asyncio.gather(*(
+            cluster.request(f"entry-{i % 4}", "/write/3", "POST", b"slow", deadline_ms=600)
+            for i in range(8)))
+
+    for i in range(8):
+        if i == 3:
+            list(cluster.servers.values())[0].end(1.0)
+        await copies()
+        await asyncio.sleep(0.3)
+    for server in cluster.servers.values():
+        server.work_s = 0.02
+    since = time.monotonic()
+
+    async def is_served():
+        return all(answer and answer.status == 200 for answer in await copies())
+
+    await cluster.wait("the request is served", is_served, 12)
+    print(f"# served after {time.monotonic() - since:.1f} s", flush=True)
+
+
 async def release(cluster):
     """Servers say that they leave, in the two ways there are, and end with
     connections open; others take their place."""
@@ -394,9 +432,11 @@
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [repeated_get_ends_few_servers, repeated_post_ends_few_servers,
              repeats_without_pause_end_few_servers, bursts_end_few_servers,
-             server_that_is_back_at_once, servers_that_fall_silent, out_of_touch, restarts_and_new_leaders,
+             server_that_is_back_at_once, servers_that_fall_silent, servers_that_stay_silent,
+             out_of_touch, restarts_and_new_leaders,
              first_ends_before_a_new_leader, hosts_are_told_apart, refusal_is_true,
-             servers_that_end_by_themselves, failed_zone, first_copies_end_together, release,
+             servers_that_end_by_themselves, failed_zone, first_copies_end_together,
+             slow_servers_and_one_end, release,
              cold_start, broken_connections, beside_a_lethal_request]
     chosen = sys.argv[2:]
     options = {case: OPTIONS for case in cases}
