crashes: Keep reports of known ends when others fill the ring

Cause: an instance keeps the last 256 reports for a new leader.

Change: a report of a known end is replaced last.

CrsCase.UnresolvedSendingsDisplaceNoKnownEnd failed before (0 of 1 end told to a new leader) and passes now.

--- a/almondward/crashes.c
+++ b/almondward/crashes.c
@@ -207,10 +207,18 @@
 	return NULL;
 }
 
+/*
+ * Takes the place of the oldest report, one of a known end last.
+ */
 static struct report *add_report(struct crs *crs)
 {
 	struct report *to = &crs->reports[crs->next_report];
+	size_t i;
 
+	for (i = 0; i < CRS_REPORTS_MAX && to->at_ms && to->ended; i++) {
+		crs->next_report = (crs->next_report + 1) % CRS_REPORTS_MAX;
+		to = &crs->reports[crs->next_report];
+	}
 	crs->next_report = (crs->next_report + 1) % CRS_REPORTS_MAX;
 	if (crs->nr_reports < CRS_REPORTS_MAX)
 		crs->nr_reports++;
--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -751,6 +751,29 @@
 	EXPECT_EQ((size_t)CRS_REPORTS_MAX, news.n_crashes);
 }
 
+// A new leader must hear of an end also after an overload, in which many
+// requests are not answered.
+TEST_F(CrsCase, UnresolvedSendingsDisplaceNoKnownEnd)
+{
+	struct crs_break sending = { fingerprint, "s", nullptr, "z",
+				     5,		  600, false };
+	Aw__CrashNews news;
+	size_t nr_ended = 0;
+
+	broke(0, "s1");
+	for (int i = 0; i < 2 * CRS_REPORTS_MAX; i++) {
+		std::string address = "t" + std::to_string(i);
+
+		sending.address = address.c_str();
+		crs_unanswered(at[0].crs, &sending);
+	}
+	crs_tell_again(at[0].crs);
+	ASSERT_TRUE(crs_news(at[0].crs, &news));
+	for (size_t i = 0; i < news.n_crashes; i++)
+		nr_ended += news.crashes[i]->ended;
+	EXPECT_EQ(1u, nr_ended);
+}
+
 TEST_F(CrsCase, RequestAnsweredLatelyIsNotSuspected)
 {
 	Aw__CrashNews news;
