--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -67,6 +67,21 @@
 		return quar_state(quar, fingerprint, nullptr);
 	}
 
+	/* What the record of an earlier leader says of request 1. */
+	void hold_trial(uint32_t expires_in_ms)
+	{
+		uint8_t fingerprint[HASH_BYTES];
+		Aw__Quarantine held;
+
+		memset(fingerprint, 1, sizeof(fingerprint));
+		aw__quarantine__init(&held);
+		held.fingerprint.data = fingerprint;
+		held.fingerprint.len = sizeof(fingerprint);
+		held.expires_in_ms = expires_in_ms;
+		held.state = AW__QUARANTINE_STATE__QUARANTINE_TRIAL;
+		ASSERT_EQ(QUAR_OK, quar_hold(quar, &held));
+	}
+
 	void pass(uint64_t ms)
 	{
 		clk_advance_ms(clk, ms);
@@ -334,16 +349,7 @@
 
 TEST_F(SeededQuar, NewLeaderGoesOnWithARecord)
 {
-	uint8_t fingerprint[HASH_BYTES];
-	Aw__Quarantine held;
-
-	memset(fingerprint, 1, sizeof(fingerprint));
-	aw__quarantine__init(&held);
-	held.fingerprint.data = fingerprint;
-	held.fingerprint.len = sizeof(fingerprint);
-	held.expires_in_ms = 60000;
-	held.state = AW__QUARANTINE_STATE__QUARANTINE_TRIAL;
-	ASSERT_EQ(QUAR_OK, quar_hold(quar, &held));
+	hold_trial(60000);
 	EXPECT_EQ(QUAR_TRIAL, state());
 	pass(3000);
 	crash({ 1, "s1" });
@@ -358,16 +364,7 @@
 // not refuse a request whose servers were lost at one moment.
 TEST_F(SeededQuar, LossesBeforeATrialDoNotConfirmIt)
 {
-	uint8_t fingerprint[HASH_BYTES];
-	Aw__Quarantine held;
-
-	memset(fingerprint, 1, sizeof(fingerprint));
-	aw__quarantine__init(&held);
-	held.fingerprint.data = fingerprint;
-	held.fingerprint.len = sizeof(fingerprint);
-	held.expires_in_ms = QUARANTINE_MS - 1000;
-	held.state = AW__QUARANTINE_STATE__QUARANTINE_TRIAL;
-	ASSERT_EQ(QUAR_OK, quar_hold(quar, &held));
+	hold_trial(QUARANTINE_MS - 1000);
 	for (const char *address : { "s1", "s2", "s3", "s4" })
 		crash({ 1, address, .took_ms = 500, .zone = address,
 			.age_ms = 1000 });
--- a/tests/process_crashes.py
+++ b/tests/process_crashes.py
@@ -116,28 +116,26 @@
         check_ended(cluster, SERVERS_MAX + LATER_MAX)
 
 
-async def servers_that_fall_silent(cluster):
-    """No connection breaks when such a server ends: its callers wait until their
-    time is up, or leave, and it starts again later."""
+async def repeats_to_silent_servers(cluster, down_s):
     for server in cluster.servers.values():
-        server.is_dark, server.down_s = True, 1.5
+        server.is_dark, server.down_s = True, down_s
     for i in range(24):
         await cluster.request(f"entry-{i % 4}", "/write/3", "POST", b"a lethal body",
                               deadline_ms=600)
         await asyncio.sleep(0.5)
     check_later(cluster)
+
+
+async def servers_that_fall_silent(cluster):
+    """No connection breaks when such a server ends: its callers wait until their
+    time is up, or leave, and it starts again later."""
+    await repeats_to_silent_servers(cluster, 1.5)
     check_ended(cluster, SERVERS_MAX + LATER_MAX)
 
 
 async def servers_that_stay_silent(cluster):
     """Several may have ended before the first one is back and shows it."""
-    for server in cluster.servers.values():
-        server.is_dark, server.down_s = True, 7.0
-    for i in range(24):
-        await cluster.request(f"entry-{i % 4}", "/write/3", "POST", b"a lethal body",
-                              deadline_ms=600)
-        await asyncio.sleep(0.5)
-    check_later(cluster)
+    await repeats_to_silent_servers(cluster, 7.0)
 
 
 async def few_servers(cluster):
