gateway, platform, limit: Log the limits that servers name

A server's limit is now read and remembered, and nothing decides by it yet. A log line and server_notices{limit}, {limit_ended} and {limit_unreadable} show each change, and request lines have the limit at the time of the attempt. Platform.DecodesServerLimits passes.

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -87,6 +87,8 @@
 	/* Of the last attempt; the server itself may be freed by then. */
 	char server_id[NAME_BYTES_MAX];
 	char server_zone[NAME_BYTES_MAX];
+	/* Its limit when the attempt began, "none" without one. */
+	char limit_text[16];
 	struct gw_slot slot; /* of the current or the next attempt */
 	struct http_conn *conn; /* of the current attempt, NULL: none */
 	struct gw_conn_info conn_info;
@@ -206,7 +208,7 @@
 		"id=%s customer=%s route=%s upstream=%s object=%llx status=%u outcome=%s "
 		"rule=%s verdict=%s server=%s server_zone=%s took_ms=%llu sent_ms=%lld "
 		"body_ms=%u tries=%u not_run=%u expected_ms=%u wait_ms=%u load=%u/%u "
-		"load_age_ms=%llu place=%d moved=%s left_ms=%lld plan=%llu "
+		"load_age_ms=%llu place=%d moved=%s limit_per_s=%s left_ms=%lld plan=%llu "
 		"plan_age_ms=%llu",
 		id_text(request, id), request->customer, request->route,
 		request->upstream, (unsigned long long)request->query.object,
@@ -220,7 +222,7 @@
 		choice->expected_ms, choice->wait_ms, choice->load,
 		choice->slots, (unsigned long long)choice->load_age_ms,
 		choice->rank, choice->other_region ? "true" : "false",
-		(long long)(request->deadline_ms - now_ms),
+		request->limit_text, (long long)(request->deadline_ms - now_ms),
 		(unsigned long long)request->plan_version,
 		(unsigned long long)(now_ms - request->gw->plan_confirmed_ms));
 }
@@ -479,6 +481,69 @@
 	}
 }
 
+static void log_limit(struct gw_request *request, const char *notice,
+		      uint32_t milli_per_s)
+{
+	char id[EVENT_TEXT_BYTES];
+
+	gw_count(request->gw, "server_notices", notice);
+	event_log(EVENT_SERVER, "server=%s notice=%s limit_per_s=%u.%03u id=%s",
+		  steer_server_id(request->choice.server), notice,
+		  milli_per_s / 1000, milli_per_s % 1000, id_text(request, id));
+}
+
+static void observe_limit(struct gw_request *request,
+			  const struct limit *observed)
+{
+	if (steer_server_update_limit(request->gw->steer,
+				      request->choice.server, observed))
+		log_limit(request,
+			  observed->state == LIMIT_NAMED ? "limit" :
+							   "limit_ended",
+			  observed->milli_per_s);
+}
+
+/*
+ * Applies the limit that a response to this request names. A limit that cannot
+ * be read leaves the known one in force.
+ */
+static void apply_limit(struct gw_request *request,
+			const struct svc_answer *read)
+{
+	const struct limit observed = {
+		.state = LIMIT_NAMED,
+		.milli_per_s = read->limit_milli_per_s,
+		.observed_ms = gw_now_ms(request->gw),
+	};
+
+	switch (read->limit) {
+	case SVC_LIMIT_NONE:
+		break;
+	case SVC_LIMIT_UNREADABLE:
+		log_limit(request, "limit_unreadable", 0);
+		break;
+	case SVC_LIMIT_VALID:
+		observe_limit(request, &observed);
+		break;
+	}
+}
+
+/*
+ * A complete successful response without a limit ends the earlier one. Errors
+ * do not: they may come from a part of the server that knows no limit.
+ */
+static void apply_limit_end(struct gw_request *request,
+			    const struct svc_answer *read)
+{
+	const struct limit observed = {
+		.state = LIMIT_NONE,
+		.observed_ms = gw_now_ms(request->gw),
+	};
+
+	if (read->limit == SVC_LIMIT_NONE)
+		observe_limit(request, &observed);
+}
+
 /*
  * Returns whether requests like this one are suspected of crashing servers, or
  * quarantined for it. A trial is granted for a single attempt.
@@ -505,6 +570,17 @@
 	       check_quarantine(request, &retry_after_ms) != QUAR_REFUSED;
 }
 
+/*
+ * A response without an id may be to an earlier request, which only its body
+ * could show.
+ */
+static bool is_own_id(const struct gw_request *request,
+		      const struct svc_answer *read)
+{
+	return !read->request_id || !request->parsed.id ||
+	       !strcmp(read->request_id, request->parsed.id);
+}
+
 static bool is_own_response(void *arg, const struct http_response *response)
 {
 	struct gw_request *request = arg;
@@ -513,9 +589,11 @@
 
 	request->gw->adapter->read_answer(response, &read);
 	apply_notices(request, &read);
-	if (!read.request_id || !request->parsed.id ||
-	    !strcmp(read.request_id, request->parsed.id))
+	if (is_own_id(request, &read)) {
+		if (!read.misdirected)
+			apply_limit(request, &read);
 		return true;
+	}
 	gw_count(request->gw, "answers_skipped", "other_request");
 	event_log(EVENT_ATTEMPT, "id=%s server=%s outcome=skipped_other_answer",
 		  id_text(request, id),
@@ -744,6 +822,8 @@
 		retry_maybe_run(request, REFUSAL_SERVER_LOST, response);
 		return;
 	}
+	if (response->status < 300)
+		apply_limit_end(request, &read);
 	log_attempt(request, STEER_SUCCESS, "");
 	end_large_body(request);
 	gw_slot_end(gw, &request->slot,
@@ -811,6 +891,8 @@
 	if (outcome->failed_head.status) {
 		request->gw->adapter->read_answer(&outcome->failed_head, &read);
 		apply_notices(request, &read);
+		if (is_own_id(request, &read) && !read.misdirected)
+			apply_limit(request, &read);
 	}
 	http_conn_destroy(conn);
 	if (outcome->result == HTTP_TIMEOUT &&
@@ -978,6 +1060,19 @@
 		       steer_server_hash(request->choice.server);
 }
 
+static void set_limit_text(struct gw_request *request)
+{
+	const struct limit *limit = steer_server_limit(request->choice.server);
+
+	if (limit->state != LIMIT_NAMED)
+		snprintf(request->limit_text, sizeof(request->limit_text),
+			 "none");
+	else
+		snprintf(request->limit_text, sizeof(request->limit_text),
+			 "%u.%03u", limit->milli_per_s / 1000,
+			 limit->milli_per_s % 1000);
+}
+
 /*
  * Starts an attempt. Returns false when no connection can be made.
  */
@@ -992,6 +1087,7 @@
 		 steer_server_id(request->choice.server));
 	snprintf(request->server_zone, sizeof(request->server_zone), "%s",
 		 steer_server_zone(request->choice.server));
+	set_limit_text(request);
 	request->query.not_cached = steer_is_reported_uncached(
 		gw->steer, request->choice.server, &request->query);
 	steer_attempt_begin(gw->steer, request->choice.server, &request->query);
@@ -1263,6 +1359,7 @@
 	request->plan_version = plan_version(gw->plan);
 	request->slot.request = request;
 	request->query.draw = erand48(gw->random_state);
+	snprintf(request->limit_text, sizeof(request->limit_text), "none");
 	gw->adapter->read_request(req, &request->parsed);
 	DL_APPEND(gw->requests, request);
 	gw->nr_requests++;
--- a/almondward/service.h
+++ b/almondward/service.h
@@ -100,6 +100,16 @@
 	SVC_BACKOFF_UNREADABLE /* not a number, or negative: ignored */
 };
 
+/* Higher limits are lowered to this one, which no server needs. */
+#define SVC_LIMIT_MAX_MILLI_PER_S 1000000000
+
+/* Requests a second that a server takes from all instances together. */
+enum svc_limit {
+	SVC_LIMIT_NONE, /* not given */
+	SVC_LIMIT_VALID, /* rounded to the nearest thousandth */
+	SVC_LIMIT_UNREADABLE /* not a decimal number: ignored */
+};
+
 struct svc_answer {
 	const char *request_id; /* NULL: not given */
 	const char *server_id; /* NULL: not given */
@@ -114,6 +124,8 @@
 	uint32_t idle_max_ms; /* of the connection, 0: not given */
 	enum svc_backoff backoff;
 	uint32_t backoff_ms; /* if backoff is VALID or CAPPED */
+	enum svc_limit limit;
+	uint32_t limit_milli_per_s; /* if limit is VALID */
 };
 
 struct svc_adapter {
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -148,6 +148,7 @@
 	bool attempted; /* this instance has sent it a request */
 	size_t nr_idle; /* idle connections to it */
 	struct notice notice;
+	struct limit limit;
 	/* When its coordinator last replied about it. */
 	uint64_t coord_reply_ms;
 	uint64_t coord_reply_object;
@@ -1628,6 +1629,17 @@
 	return is_first;
 }
 
+bool steer_server_update_limit(struct steer *steer, struct steer_server *server,
+			       const struct limit *observed)
+{
+	return limit_update(&find_listed(steer, server)->limit, observed);
+}
+
+const struct limit *steer_server_limit(const struct steer_server *server)
+{
+	return &server->limit;
+}
+
 bool steer_server_is_leaving(struct steer *steer,
 			     const struct steer_server *server)
 {
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -21,6 +21,7 @@
 
 #include "clock.h"
 #include "coord.h"
+#include "limit.h"
 #include "need.h"
 #include "plan.h"
 #include "settings.h"
@@ -186,6 +187,14 @@
 bool steer_server_set_backoff(struct steer *steer, struct steer_server *server,
 			      uint32_t backoff_ms);
 
+/*
+ * Records an observation of the server's limit. Returns true if the limit has
+ * changed.
+ */
+bool steer_server_update_limit(struct steer *steer, struct steer_server *server,
+			       const struct limit *observed);
+const struct limit *steer_server_limit(const struct steer_server *server);
+
 /*
  * These return whether the server may exit for another reason than the requests
  * that it executes: it announced that it leaves, or it is cold and receives too
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -291,3 +291,42 @@
 	EXPECT_EQ(SVC_BACKOFF_NONE,
 		  read_answer(429, { { "Retry-After", "2" } }).backoff);
 }
+
+// A limit that cannot be read must not pass for one of zero, nor for none.
+TEST(Platform, DecodesServerLimits)
+{
+	const struct {
+		const char *text;
+		enum svc_limit limit;
+		uint32_t milli_per_s;
+	} rows[] = {
+		{ "5.7", SVC_LIMIT_VALID, 5700 },
+		{ "12", SVC_LIMIT_VALID, 12000 },
+		{ "0", SVC_LIMIT_VALID, 0 },
+		{ "0.5", SVC_LIMIT_VALID, 500 },
+		{ "0.0004", SVC_LIMIT_VALID, 0 },
+		{ "3.", SVC_LIMIT_VALID, 3000 },
+		{ "99999999999999999999999", SVC_LIMIT_VALID,
+		  SVC_LIMIT_MAX_MILLI_PER_S },
+		{ "-1", SVC_LIMIT_UNREADABLE, 0 },
+		{ "", SVC_LIMIT_UNREADABLE, 0 },
+		{ "few", SVC_LIMIT_UNREADABLE, 0 },
+		{ "1e3", SVC_LIMIT_UNREADABLE, 0 },
+		{ "5,7", SVC_LIMIT_UNREADABLE, 0 },
+		{ "inf", SVC_LIMIT_UNREADABLE, 0 },
+		{ "nan", SVC_LIMIT_UNREADABLE, 0 },
+		{ "5.7/s", SVC_LIMIT_UNREADABLE, 0 },
+	};
+
+	for (const auto &row : rows) {
+		for (uint32_t status : { 200u, 500u, 503u }) {
+			auto answer = read_answer(
+				status, { { "Server-Limit", row.text } });
+
+			EXPECT_EQ(row.limit, answer.limit) << row.text;
+			EXPECT_EQ(row.milli_per_s, answer.limit_milli_per_s)
+				<< row.text;
+		}
+	}
+	EXPECT_EQ(SVC_LIMIT_NONE, read_answer(200, {}).limit);
+}
