--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -3517,6 +3517,51 @@
   assert(message->base.descriptor == &aw__needs__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   aw__server_limit__init
+                     (Aw__ServerLimit         *message)
+{
+  static const Aw__ServerLimit init_value = AW__SERVER_LIMIT__INIT;
+  *message = init_value;
+}
+size_t aw__server_limit__get_packed_size
+                     (const Aw__ServerLimit *message)
+{
+  assert(message->base.descriptor == &aw__server_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t aw__server_limit__pack
+                     (const Aw__ServerLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &aw__server_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t aw__server_limit__pack_to_buffer
+                     (const Aw__ServerLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &aw__server_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Aw__ServerLimit *
+       aw__server_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Aw__ServerLimit *)
+     protobuf_c_message_unpack (&aw__server_limit__descriptor,
+                                allocator, len, data);
+}
+void   aw__server_limit__free_unpacked
+                     (Aw__ServerLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &aw__server_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   aw__slot_ask__init
                      (Aw__SlotAsk         *message)
 {
@@ -10873,7 +10918,71 @@
   (ProtobufCMessageInit) aw__needs__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__slot_ask__field_descriptors[6] =
+static const ProtobufCFieldDescriptor aw__server_limit__field_descriptors[3] =
+{
+  {
+    "state",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Aw__ServerLimit, state),
+    &aw__limit_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "milli_per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__ServerLimit, milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__ServerLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned aw__server_limit__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = milli_per_s */
+  0,   /* field[0] = state */
+};
+static const ProtobufCIntRange aw__server_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor aw__server_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "aw.ServerLimit",
+  "ServerLimit",
+  "Aw__ServerLimit",
+  "aw",
+  sizeof(Aw__ServerLimit),
+  3,
+  aw__server_limit__field_descriptors,
+  aw__server_limit__field_indices_by_name,
+  1,  aw__server_limit__number_ranges,
+  (ProtobufCMessageInit) aw__server_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor aw__slot_ask__field_descriptors[8] =
 {
   {
     "token",
@@ -10947,11 +11056,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Aw__SlotAsk, limit),
+    &aw__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aw__SlotAsk, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__slot_ask__field_indices_by_name[] = {
   3,   /* field[3] = has_object */
   5,   /* field[5] = left_ms */
+  6,   /* field[6] = limit */
   4,   /* field[4] = object */
+  7,   /* field[7] = sent */
   1,   /* field[1] = server */
   0,   /* field[0] = token */
   2,   /* field[2] = upstream */
@@ -10959,7 +11094,7 @@
 static const ProtobufCIntRange aw__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor aw__slot_ask__descriptor =
 {
@@ -10969,14 +11104,14 @@
   "Aw__SlotAsk",
   "aw",
   sizeof(Aw__SlotAsk),
-  6,
+  8,
   aw__slot_ask__field_descriptors,
   aw__slot_ask__field_indices_by_name,
   1,  aw__slot_ask__number_ranges,
   (ProtobufCMessageInit) aw__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__slot_told__field_descriptors[3] =
+static const ProtobufCFieldDescriptor aw__slot_told__field_descriptors[6] =
 {
   {
     "token",
@@ -11014,16 +11149,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Aw__SlotTold, limit),
+    &aw__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "denied",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aw__SlotTold, denied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Aw__SlotTold, retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__slot_told__field_indices_by_name[] = {
+  4,   /* field[4] = denied */
   2,   /* field[2] = knows */
+  3,   /* field[3] = limit */
+  5,   /* field[5] = retry_ms */
   1,   /* field[1] = running */
   0,   /* field[0] = token */
 };
 static const ProtobufCIntRange aw__slot_told__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor aw__slot_told__descriptor =
 {
@@ -11033,14 +11207,14 @@
   "Aw__SlotTold",
   "aw",
   sizeof(Aw__SlotTold),
-  3,
+  6,
   aw__slot_told__field_descriptors,
   aw__slot_told__field_indices_by_name,
   1,  aw__slot_told__number_ranges,
   (ProtobufCMessageInit) aw__slot_told__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__slot_end__field_descriptors[2] =
+static const ProtobufCFieldDescriptor aw__slot_end__field_descriptors[3] =
 {
   {
     "token",
@@ -11066,15 +11240,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Aw__SlotEnd, limit),
+    &aw__server_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__slot_end__field_indices_by_name[] = {
   1,   /* field[1] = end */
+  2,   /* field[2] = limit */
   0,   /* field[0] = token */
 };
 static const ProtobufCIntRange aw__slot_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor aw__slot_end__descriptor =
 {
@@ -11084,7 +11271,7 @@
   "Aw__SlotEnd",
   "aw",
   sizeof(Aw__SlotEnd),
-  2,
+  3,
   aw__slot_end__field_descriptors,
   aw__slot_end__field_indices_by_name,
   1,  aw__slot_end__number_ranges,
@@ -11974,6 +12161,36 @@
   aw__quarantine_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue aw__limit_state__enum_values_by_number[3] =
+{
+  { "LIMIT_STATE_UNKNOWN", "AW__LIMIT_STATE__LIMIT_STATE_UNKNOWN", 0 },
+  { "LIMIT_STATE_NONE", "AW__LIMIT_STATE__LIMIT_STATE_NONE", 1 },
+  { "LIMIT_STATE_NAMED", "AW__LIMIT_STATE__LIMIT_STATE_NAMED", 2 },
+};
+static const ProtobufCIntRange aw__limit_state__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex aw__limit_state__enum_values_by_name[3] =
+{
+  { "LIMIT_STATE_NAMED", 2 },
+  { "LIMIT_STATE_NONE", 1 },
+  { "LIMIT_STATE_UNKNOWN", 0 },
+};
+const ProtobufCEnumDescriptor aw__limit_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "aw.LimitState",
+  "LimitState",
+  "Aw__LimitState",
+  "aw",
+  3,
+  aw__limit_state__enum_values_by_number,
+  3,
+  aw__limit_state__enum_values_by_name,
+  1,
+  aw__limit_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue aw__slot_end_kind__enum_values_by_number[4] =
 {
   { "SLOT_UNTOLD", "AW__SLOT_END_KIND__SLOT_UNTOLD", 0 },
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -93,6 +93,7 @@
 typedef struct Aw__ReadIndex Aw__ReadIndex;
 typedef struct Aw__ReadIndexReply Aw__ReadIndexReply;
 typedef struct Aw__Needs Aw__Needs;
+typedef struct Aw__ServerLimit Aw__ServerLimit;
 typedef struct Aw__SlotAsk Aw__SlotAsk;
 typedef struct Aw__SlotTold Aw__SlotTold;
 typedef struct Aw__SlotEnd Aw__SlotEnd;
@@ -182,6 +183,16 @@
   AW__QUARANTINE_STATE__QUARANTINE_WATCHED = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__QUARANTINE_STATE)
 } Aw__QuarantineState;
+/*
+ * What the sender knows of the requests a second that a server takes. Messages
+ * of earlier versions do not have it: their sender knows no limits.
+ */
+typedef enum _Aw__LimitState {
+  AW__LIMIT_STATE__LIMIT_STATE_UNKNOWN = 0,
+  AW__LIMIT_STATE__LIMIT_STATE_NONE = 1,
+  AW__LIMIT_STATE__LIMIT_STATE_NAMED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(AW__LIMIT_STATE)
+} Aw__LimitState;
 typedef enum _Aw__SlotEndKind {
   AW__SLOT_END_KIND__SLOT_UNTOLD = 0,
   AW__SLOT_END_KIND__SLOT_KNEW = 1,
@@ -1781,6 +1792,21 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
 
 
+struct  Aw__ServerLimit
+{
+  ProtobufCMessage base;
+  Aw__LimitState state;
+  uint32_t milli_per_s;
+  /*
+   * since it was observed
+   */
+  uint32_t age_ms;
+};
+#define AW__SERVER_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&aw__server_limit__descriptor) \
+    , AW__LIMIT_STATE__LIMIT_STATE_UNKNOWN, 0, 0 }
+
+
 /*
  * To the coordinator of a server, before a request is sent there.
  */
@@ -1799,10 +1825,15 @@
   protobuf_c_boolean has_object;
   uint64_t object;
   uint32_t left_ms;
+  Aw__ServerLimit *limit;
+  /*
+   * the request does not wait for the reply
+   */
+  protobuf_c_boolean sent;
 };
 #define AW__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__slot_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, NULL, 0 }
 
 
 struct  Aw__SlotTold
@@ -1811,10 +1842,19 @@
   uint64_t token;
   uint32_t running;
   protobuf_c_boolean knows;
+  Aw__ServerLimit *limit;
+  /*
+   * the request must not be sent now
+   */
+  protobuf_c_boolean denied;
+  /*
+   * until the next permit, if denied
+   */
+  uint32_t retry_ms;
 };
 #define AW__SLOT_TOLD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__slot_told__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, NULL, 0, 0 }
 
 
 struct  Aw__SlotEnd
@@ -1822,10 +1862,14 @@
   ProtobufCMessage base;
   uint64_t token;
   Aw__SlotEndKind end;
+  /*
+   * as the response named it
+   */
+  Aw__ServerLimit *limit;
 };
 #define AW__SLOT_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__slot_end__descriptor) \
-    , 0, AW__SLOT_END_KIND__SLOT_UNTOLD }
+    , 0, AW__SLOT_END_KIND__SLOT_UNTOLD, NULL }
 
 
 typedef enum {
@@ -3445,6 +3489,25 @@
 void   aw__needs__free_unpacked
                      (Aw__Needs *message,
                       ProtobufCAllocator *allocator);
+/* Aw__ServerLimit methods */
+void   aw__server_limit__init
+                     (Aw__ServerLimit         *message);
+size_t aw__server_limit__get_packed_size
+                     (const Aw__ServerLimit   *message);
+size_t aw__server_limit__pack
+                     (const Aw__ServerLimit   *message,
+                      uint8_t             *out);
+size_t aw__server_limit__pack_to_buffer
+                     (const Aw__ServerLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Aw__ServerLimit *
+       aw__server_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   aw__server_limit__free_unpacked
+                     (Aw__ServerLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Aw__SlotAsk methods */
 void   aw__slot_ask__init
                      (Aw__SlotAsk         *message);
@@ -3852,6 +3915,9 @@
 typedef void (*Aw__Needs_Closure)
                  (const Aw__Needs *message,
                   void *closure_data);
+typedef void (*Aw__ServerLimit_Closure)
+                 (const Aw__ServerLimit *message,
+                  void *closure_data);
 typedef void (*Aw__SlotAsk_Closure)
                  (const Aw__SlotAsk *message,
                   void *closure_data);
@@ -3894,6 +3960,7 @@
 extern const ProtobufCEnumDescriptor    aw__server_state__descriptor;
 extern const ProtobufCEnumDescriptor    aw__bucket_kind__descriptor;
 extern const ProtobufCEnumDescriptor    aw__quarantine_state__descriptor;
+extern const ProtobufCEnumDescriptor    aw__limit_state__descriptor;
 extern const ProtobufCEnumDescriptor    aw__slot_end_kind__descriptor;
 extern const ProtobufCEnumDescriptor    aw__propose_status__descriptor;
 extern const ProtobufCEnumDescriptor    aw__role__descriptor;
@@ -3975,6 +4042,7 @@
 extern const ProtobufCMessageDescriptor aw__read_index__descriptor;
 extern const ProtobufCMessageDescriptor aw__read_index_reply__descriptor;
 extern const ProtobufCMessageDescriptor aw__needs__descriptor;
+extern const ProtobufCMessageDescriptor aw__server_limit__descriptor;
 extern const ProtobufCMessageDescriptor aw__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor aw__slot_told__descriptor;
 extern const ProtobufCMessageDescriptor aw__slot_end__descriptor;
--- a/almondward/coord.c
+++ b/almondward/coord.c
@@ -18,6 +18,8 @@
 	uint64_t used_ms;
 	uint64_t objects[COORD_OBJECTS_MAX]; /* most recently used first */
 	size_t nr_objects;
+	struct limit limit;
+	struct limit_bucket permits; /* while the limit is named */
 	UT_hash_handle hh;
 };
 
@@ -40,6 +42,7 @@
 	/* Of the object in server.objects, COORD_OBJECTS_MAX: not in it. */
 	size_t position;
 	uint64_t expires_ms;
+	bool has_permit;
 	UT_hash_handle hh;
 };
 
@@ -158,6 +161,58 @@
 	return at;
 }
 
+static void update_limit(struct server *server, const struct limit *observed,
+			 uint64_t now_ms)
+{
+	bool was_named = server->limit.state == LIMIT_NAMED;
+
+	limit_update(&server->limit, observed);
+	if (server->limit.state == LIMIT_NAMED && !was_named)
+		limit_bucket_start(&server->permits, 0, now_ms);
+}
+
+void coord_observe_limit(struct coord *coord, uint64_t token,
+			 const struct limit *observed)
+{
+	struct request *at = find_request(coord, token);
+
+	if (at)
+		update_limit(at->server, observed, clk_now_ms(coord->clk));
+}
+
+/*
+ * Decides whether the request may be sent if the server has a limit. Requests
+ * that are sent anyway are counted, so that others make up for them.
+ */
+static void grant_permit(struct server *server, const struct coord_query *query,
+			 uint64_t now_ms, struct coord_reply *reply)
+{
+	reply->permit = COORD_PERMIT_GRANTED;
+	if (server->limit.state != LIMIT_NAMED)
+		return;
+	if (!query->supports_limits || query->is_sent) {
+		if (!limit_bucket_charge(&server->permits, &server->limit,
+					 now_ms) &&
+		    !query->supports_limits)
+			reply->in_flight += COORD_LOAD_FULL;
+		return;
+	}
+	reply->retry_ms =
+		limit_bucket_take(&server->permits, &server->limit, 1, now_ms);
+	if (reply->retry_ms)
+		reply->permit = COORD_PERMIT_DENIED;
+}
+
+/*
+ * A query that was received twice counts once.
+ */
+static void replace_request(struct coord *coord, struct request *at)
+{
+	if (at->has_permit)
+		limit_bucket_return(&at->server->permits);
+	free_request(coord, at);
+}
+
 int coord_query(struct coord *coord, const struct coord_query *query,
 		struct coord_reply *reply)
 {
@@ -170,10 +225,18 @@
 	if (!server || !upstream)
 		return -1;
 	if (at)
-		free_request(coord, at);
+		replace_request(coord, at);
+	server->used_ms = now_ms;
+	update_limit(server, &query->limit, now_ms);
+	*reply = (struct coord_reply){ .in_flight = server->in_flight,
+				       .limit = server->limit };
+	grant_permit(server, query, now_ms, reply);
+	if (reply->permit == COORD_PERMIT_DENIED)
+		return 0;
 	at = calloc(1, sizeof(*at));
 	if (!at)
 		return -1;
+	at->has_permit = server->limit.state == LIMIT_NAMED;
 	if (lifetime_ms > COORD_LIFETIME_MAX_MS)
 		lifetime_ms = COORD_LIFETIME_MAX_MS;
 	at->token = query->token;
@@ -188,10 +251,9 @@
 		touch_object(server, at->position, query->object);
 	}
 	HASH_ADD(hh, coord->requests, token, sizeof(at->token), at);
-	reply->in_flight = server->in_flight++;
+	server->in_flight++;
 	reply->cached = at->position < COORD_OBJECTS_MAX &&
 			upstream->hit_rate[at->position] >= 0.5;
-	server->used_ms = now_ms;
 	return 0;
 }
 
@@ -228,6 +290,8 @@
 		if (at->position == COORD_OBJECTS_MAX &&
 		    position < COORD_OBJECTS_MAX)
 			remove_object(at->server, position);
+		if (at->has_permit)
+			limit_bucket_return(&at->server->permits);
 		break;
 	case COORD_CACHE_UNKNOWN:
 		break;
--- a/almondward/coord.h
+++ b/almondward/coord.h
@@ -8,9 +8,10 @@
  * with the requests in flight and counts the new one until it is reported
  * finished. The cost of a request does not depend on the number of instances.
  *
- * A coordinator only reports; the instance that queried it decides. Without a
- * reply an instance goes by what it has seen itself. The module only makes
- * decisions; time comes from a clock.
+ * A coordinator reports, and the instance that queried it decides; only where
+ * the server has named a limit, the coordinator grants or denies a permit.
+ * Without a reply an instance goes by what it has seen itself. The module only
+ * makes decisions; time comes from a clock.
  */
 #ifndef COORD_H
 #define COORD_H
@@ -20,6 +21,7 @@
 #include <stdint.h>
 
 #include "clock.h"
+#include "limit.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -34,6 +36,10 @@
  * server that can cache more, the rest counts as not cached. */
 #define COORD_OBJECTS_MAX 32
 
+/* Load that an instance which knows no permits is given when there is none: more
+ * than any server has slots, so that it chooses another server. */
+#define COORD_LOAD_FULL 1000
+
 struct coord;
 
 struct coord_query {
@@ -43,11 +49,23 @@
 	bool has_object;
 	uint64_t object;
 	uint32_t left_ms; /* until the caller's deadline */
+	bool supports_limits; /* false: an instance of an earlier version */
+	bool is_sent; /* the request is sent without awaiting the reply */
+	struct limit limit; /* of the server, as known to the instance */
+};
+
+enum coord_permit {
+	COORD_PERMIT_UNSUPPORTED, /* the coordinator knows no limits */
+	COORD_PERMIT_GRANTED, /* also where the server has no limit */
+	COORD_PERMIT_DENIED /* the request must not be sent; not counted */
 };
 
 struct coord_reply {
 	uint32_t in_flight; /* other requests in flight at the server */
 	bool cached; /* the server probably has the object cached */
+	enum coord_permit permit;
+	uint32_t retry_ms; /* until the next permit, if denied */
+	struct limit limit; /* as known to the coordinator */
 };
 
 /* What a finished request shows about the cache of its server. */
@@ -72,6 +90,13 @@
 int coord_query(struct coord *coord, const struct coord_query *query,
 		struct coord_reply *reply);
 
+/*
+ * Takes the limit that the response to a request named. An unknown token is
+ * ignored; the next query has the limit again.
+ */
+void coord_observe_limit(struct coord *coord, uint64_t token,
+			 const struct limit *observed);
+
 /*
  * The request has finished. An unknown token is ignored: the request may have
  * expired, or another coordinator was queried.
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -76,6 +76,8 @@
 	bool is_self;
 	/* It left a query unanswered; none is sent to it until then. */
 	uint64_t skip_until_ms;
+	/* It runs an earlier version and grants no permits. */
+	uint64_t no_permits_until_ms;
 };
 
 /* A request as reported to the coordinator of the server it is meant for. */
@@ -89,11 +91,15 @@
 	bool awaits_reply; /* the request is not sent before the reply */
 	/* Time limit of the reply; 0: it was received, or is not expected. */
 	uint64_t reply_due_ms;
+	/* The request may be sent although the server has a limit. */
+	bool has_permit;
+	struct limit observed; /* the limit that the response named */
 	UT_hash_handle hh;
 };
 
 enum gw_slot_state {
 	GW_SLOT_REPLIED, /* steer has the coordinator's reply */
+	GW_SLOT_DENIED, /* the server has a limit and there is no permit */
 	GW_SLOT_PENDING, /* gw_request_on_slot_reply() will be called */
 	GW_SLOT_PROCEED /* the request goes on without a reply */
 };
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -57,6 +57,10 @@
 /* Larger bodies are hashed for a fingerprint only when a request is suspected
  * of crashing servers: bodies that are sent again and again are small. */
 #define SMALL_BODY_BYTES 4096
+/* A request that was denied a permit asks for one for other servers for this
+ * time and this number of times; then it is refused. */
+#define DENIED_ASK_MS 150
+#define DENIED_ASKS_MAX 8
 
 struct gw_request {
 	struct gw *gw;
@@ -90,6 +94,8 @@
 	/* Its limit when the attempt began, "none" without one. */
 	char limit_text[16];
 	struct gw_slot slot; /* of the current or the next attempt */
+	uint32_t nr_denied; /* permits that were denied for this attempt */
+	uint64_t first_denied_ms;
 	struct http_conn *conn; /* of the current attempt, NULL: none */
 	struct gw_conn_info conn_info;
 	struct steer_attempt attempt; /* the current one */
@@ -132,6 +138,10 @@
 				 "No server can answer in time; waiting would "
 				 "delay requests that can still be served in "
 				 "time." },
+	[REFUSAL_SERVER_LIMIT] = { "server_limit",
+				   "The servers that could take the request "
+				   "limit their requests a second, and no more "
+				   "may be sent now." },
 	[REFUSAL_NO_SERVER] = { "servers", "No server of the upstream may be "
 					   "used." },
 	[REFUSAL_DEADLINE] = { "deadline", "The time of the caller or of the "
@@ -495,8 +505,12 @@
 static void observe_limit(struct gw_request *request,
 			  const struct limit *observed)
 {
-	if (steer_server_update_limit(request->gw->steer,
-				      request->choice.server, observed))
+	bool changed = steer_server_update_limit(
+		request->gw->steer, request->choice.server, observed);
+
+	if (observed->state == LIMIT_NAMED || changed)
+		request->slot.observed = *observed;
+	if (changed)
 		log_limit(request,
 			  observed->state == LIMIT_NAMED ? "limit" :
 							   "limit_ended",
@@ -682,6 +696,9 @@
 			    COORD_NOT_SENT :
 			    COORD_CACHE_UNKNOWN);
 	query->nr_queried = 0;
+	request->nr_denied = 0;
+	query->denials_exhausted = false;
+	query->permit_server = 0;
 	request->is_trial = false;
 	request->choice.server = NULL;
 	request->conn = NULL;
@@ -996,6 +1013,7 @@
 	refuse(request,
 	       request->nr_maybe_run	  ? REFUSAL_SERVER_LOST :
 	       verdict == STEER_NO_SERVER ? REFUSAL_NO_SERVER :
+	       verdict == STEER_LIMITED	  ? REFUSAL_SERVER_LIMIT :
 					    REFUSAL_QUEUE_FULL,
 	       request->choice.retry_after_ms);
 }
@@ -1004,13 +1022,16 @@
  * Returns whether the attempt must wait for the reply of the chosen server's
  * coordinator. A coordinator in another region replies while a connection to
  * the server is being established; over an idle connection the request would
- * reach the server before the reply is received.
+ * reach the server before the reply is received. A server with a limit gets no
+ * request without a permit.
  */
 static bool must_await_coordinator(struct gw_request *request)
 {
 	struct steer_server *server = request->choice.server;
 	struct gw *gw = request->gw;
 
+	if (steer_server_is_limited(server))
+		return true;
 	if (request->query.nr_queried == STEER_QUERIED_MAX)
 		return false;
 	if (!strcmp(steer_server_region(server), gw->settings->cluster.region))
@@ -1053,13 +1074,67 @@
 		steer_coord_reply(steer, server, &request->query, reply);
 }
 
-static bool is_reported_to_coordinator(const struct gw_request *request)
+static bool has_permit(const struct gw_request *request)
 {
-	return request->slot.counted &&
+	return request->slot.has_permit &&
 	       request->slot.server ==
 		       steer_server_hash(request->choice.server);
 }
 
+/*
+ * Returns whether the coordinator of the chosen server counts the request and,
+ * if the server has a limit, has granted a permit.
+ */
+static bool is_reported_to_coordinator(const struct gw_request *request)
+{
+	const struct steer_server *server = request->choice.server;
+
+	if (steer_server_is_limited(server))
+		return has_permit(request);
+	return request->slot.counted &&
+	       request->slot.server == steer_server_hash(server);
+}
+
+/*
+ * Records that there was no permit for a server, which can then be replaced by
+ * another one among those that may be queried.
+ */
+static void add_denial(struct gw_request *request, uint32_t server)
+{
+	struct steer_query *query = &request->query;
+	uint64_t now_ms = gw_now_ms(request->gw);
+	size_t kept = 0;
+
+	gw_count(request->gw, "limit_permits", "denied");
+	for (size_t i = 0; i < query->nr_queried; i++)
+		if (query->queried[i] != server)
+			query->queried[kept++] = query->queried[i];
+	query->nr_queried = kept;
+	if (!request->nr_denied++)
+		request->first_denied_ms = now_ms;
+	query->denials_exhausted =
+		request->nr_denied >= DENIED_ASKS_MAX ||
+		now_ms >= request->first_denied_ms + DENIED_ASK_MS;
+}
+
+/*
+ * Takes a permit from this instance's own share of the limit of the chosen
+ * server, whose coordinator cannot be reached.
+ */
+static bool take_own_permit(struct gw_request *request)
+{
+	struct steer_server *server = request->choice.server;
+	struct gw *gw = request->gw;
+
+	if (!steer_take_own_permit(gw->steer, server,
+				   (uint32_t)gw->slots.nr_instances))
+		return false;
+	gw_count(gw, "limit_permits", "own");
+	request->slot.has_permit = true;
+	request->slot.server = steer_server_hash(server);
+	return true;
+}
+
 static void set_limit_text(struct gw_request *request)
 {
 	const struct limit *limit = steer_server_limit(request->choice.server);
@@ -1117,6 +1192,40 @@
 	return true;
 }
 
+enum next_step {
+	STEP_WAIT, /* the request goes on when the coordinator has replied */
+	STEP_CHOOSE, /* choose again with what the coordinator replied */
+	STEP_SEND
+};
+
+/*
+ * Reports the request to the coordinator of the chosen server if it was not
+ * reported yet, and gets a permit if the server has a limit.
+ */
+static enum next_step ask_coordinator(struct gw_request *request)
+{
+	struct steer_server *server = request->choice.server;
+	bool may_choose_again = request->query.nr_queried < STEER_QUERIED_MAX;
+
+	if (is_reported_to_coordinator(request))
+		return STEP_SEND;
+	switch (query_coordinator(request)) {
+	case GW_SLOT_PENDING:
+		return STEP_WAIT;
+	case GW_SLOT_DENIED:
+		add_denial(request, steer_server_hash(server));
+		return STEP_CHOOSE;
+	case GW_SLOT_REPLIED:
+		return may_choose_again ? STEP_CHOOSE : STEP_SEND;
+	case GW_SLOT_PROCEED:
+		break;
+	}
+	if (!steer_server_is_limited(server) || take_own_permit(request))
+		return STEP_SEND;
+	add_denial(request, steer_server_hash(server));
+	return STEP_CHOOSE;
+}
+
 /*
  * Chooses a server and starts an attempt there. The request is refused if no
  * server can take it, and goes on later if a coordinator has to reply first.
@@ -1124,27 +1233,24 @@
 static void forward(struct gw_request *request)
 {
 	struct gw *gw = request->gw;
+	enum next_step step;
 
 	while (gw_now_ms(gw) < request->deadline_ms) {
 		if (refuse_quarantined(request))
 			return;
 		set_time_left(request);
+		request->query.permit_server =
+			request->slot.has_permit ? request->slot.server : 0;
 		steer_pick(gw->steer, &request->query, &request->choice);
 		if (request->choice.verdict != STEER_SEND) {
 			refuse_by_verdict(request);
 			return;
 		}
-		if (!is_reported_to_coordinator(request)) {
-			bool may_choose_again =
-				request->query.nr_queried < STEER_QUERIED_MAX;
-			enum gw_slot_state state = query_coordinator(request);
-
-			if (state == GW_SLOT_PENDING)
-				return;
-			/* Chooses again with what the reply said. */
-			if (state == GW_SLOT_REPLIED && may_choose_again)
-				continue;
-		}
+		step = ask_coordinator(request);
+		if (step == STEP_WAIT)
+			return;
+		if (step == STEP_CHOOSE)
+			continue;
 		if (send_attempt(request))
 			return;
 		if (++request->nr_not_run > NOT_RUN_ATTEMPTS_MAX) {
@@ -1180,6 +1286,8 @@
 	slot->awaits_reply = false;
 	if (reply)
 		update_steer(request, reply);
+	if (reply && reply->permit == COORD_PERMIT_DENIED)
+		add_denial(request, slot->server);
 	forward(request);
 }
 
--- a/almondward/gateway_slots.c
+++ b/almondward/gateway_slots.c
@@ -15,16 +15,22 @@
 /* A coordinator that did not reply gets no queries for this time. A failed
  * instance is removed from the list after a second. */
 #define SKIP_MS 500
+/* An instance of an earlier version is not asked for permits for this time; it
+ * may be replaced by a later version at the same address. */
+#define NO_PERMITS_MS 5000
 
 /* ---- instances ---- */
 
-static uint64_t get_skip_until_ms(const struct gw_slots *slots,
-				  const char *address)
+/*
+ * Returns NULL if no instance has the address.
+ */
+static struct gw_instance *find_instance(const struct gw_slots *slots,
+					 const char *address)
 {
 	for (size_t i = 0; i < slots->nr_instances; i++)
 		if (!strcmp(slots->instances[i].address, address))
-			return slots->instances[i].skip_until_ms;
-	return 0;
+			return &slots->instances[i];
+	return NULL;
 }
 
 /*
@@ -37,6 +43,7 @@
 	struct gw_slots *slots = &gw->slots;
 	const Aw__Instance *const *list;
 	struct gw_instance *instances;
+	const struct gw_instance *old;
 	size_t nr, used = 0;
 
 	if (slots->instances_version == topo_instances_version(gw->topo))
@@ -58,7 +65,11 @@
 		to->is_self = !strcmp(list[i]->name, gw->settings->name);
 		snprintf(to->region, sizeof(to->region), "%s",
 			 set_region(cluster, list[i]->zone));
-		to->skip_until_ms = get_skip_until_ms(slots, to->address);
+		old = find_instance(slots, to->address);
+		if (old) {
+			to->skip_until_ms = old->skip_until_ms;
+			to->no_permits_until_ms = old->no_permits_until_ms;
+		}
 		used++;
 	}
 	free(slots->instances);
@@ -69,7 +80,8 @@
 
 /*
  * Chooses an instance in the server's region by rendezvous hashing, or in any
- * region if that one has none. Returns NULL if there are no instances.
+ * region if that one has none. For a server with a limit it is the first one
+ * that grants permits. Returns NULL if there are no instances.
  */
 static struct gw_instance *choose_coordinator(struct gw *gw,
 					      const struct steer_server *server)
@@ -84,6 +96,9 @@
 		struct gw_instance *at = &gw->slots.instances[i];
 		bool in_region = !strcmp(at->region, region);
 
+		if (steer_server_is_limited(server) &&
+		    gw_now_ms(gw) < at->no_permits_until_ms)
+			continue;
 		score = hash_mix(at->hash ^ hash * UINT64_C(0x9e3779b1));
 		if (best &&
 		    (in_region < best_in_region ||
@@ -96,6 +111,49 @@
 	return best;
 }
 
+/* ---- limits in messages ---- */
+
+static void fill_limit(struct gw *gw, const struct limit *limit,
+		       Aw__ServerLimit *msg)
+{
+	static const Aw__LimitState states[] = {
+		[LIMIT_UNKNOWN] = AW__LIMIT_STATE__LIMIT_STATE_UNKNOWN,
+		[LIMIT_NONE] = AW__LIMIT_STATE__LIMIT_STATE_NONE,
+		[LIMIT_NAMED] = AW__LIMIT_STATE__LIMIT_STATE_NAMED,
+	};
+	uint64_t age_ms = gw_now_ms(gw) - limit->observed_ms;
+
+	aw__server_limit__init(msg);
+	msg->state = states[limit->state];
+	if (limit->state == LIMIT_UNKNOWN)
+		return;
+	msg->milli_per_s = limit->milli_per_s;
+	msg->age_ms = age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
+}
+
+static void read_limit(struct gw *gw, const Aw__ServerLimit *msg,
+		       struct limit *limit)
+{
+	uint64_t now_ms = gw_now_ms(gw);
+
+	*limit = (struct limit){ .state = LIMIT_UNKNOWN };
+	if (!msg)
+		return;
+	limit->milli_per_s = msg->milli_per_s;
+	/* The sender may have been running for longer than this machine. */
+	limit->observed_ms = msg->age_ms < now_ms ? now_ms - msg->age_ms : 0;
+	switch (msg->state) {
+	case AW__LIMIT_STATE__LIMIT_STATE_NONE:
+		limit->state = LIMIT_NONE;
+		break;
+	case AW__LIMIT_STATE__LIMIT_STATE_NAMED:
+		limit->state = LIMIT_NAMED;
+		break;
+	default:
+		break;
+	}
+}
+
 /* ---- queries to coordinators ---- */
 
 static void send_query(struct gw *gw, const struct gw_slot *slot,
@@ -103,7 +161,11 @@
 {
 	Aw__Datagram datagram = AW__DATAGRAM__INIT;
 	Aw__SlotAsk msg = AW__SLOT_ASK__INIT;
+	Aw__ServerLimit limit;
 
+	fill_limit(gw, &query->limit, &limit);
+	msg.limit = &limit;
+	msg.sent = query->is_sent;
 	msg.token = query->token;
 	msg.server = query->server;
 	msg.upstream = query->upstream;
@@ -129,10 +191,14 @@
 		.has_object = query->has_object,
 		.object = query->object,
 		.left_ms = (uint32_t)query->left_ms,
+		.supports_limits = true,
+		.is_sent = !await_reply,
+		.limit = *steer_server_limit(server),
 	};
 	struct coord_reply reply;
 
 	gw_slot_end(gw, slot, COORD_NOT_SENT);
+	slot->observed = (struct limit){ .state = LIMIT_UNKNOWN };
 	if (!coordinator || now_ms < coordinator->skip_until_ms)
 		return GW_SLOT_PROCEED;
 	slot->token = coordinator_query.token;
@@ -144,10 +210,13 @@
 	snprintf(slot->coordinator, sizeof(slot->coordinator), "%s",
 		 coordinator->address);
 	if (slot->is_local) {
+		coordinator_query.is_sent = false;
 		if (coord_query(gw->slots.coord, &coordinator_query, &reply))
 			return GW_SLOT_PROCEED;
-		slot->counted = true;
 		steer_coord_reply(gw->steer, server, query, &reply);
+		if (reply.permit == COORD_PERMIT_DENIED)
+			return GW_SLOT_DENIED;
+		slot->counted = slot->has_permit = true;
 		return GW_SLOT_REPLIED;
 	}
 	slot->counted = true;
@@ -167,16 +236,24 @@
 	};
 	Aw__Datagram datagram = AW__DATAGRAM__INIT;
 	Aw__SlotEnd msg = AW__SLOT_END__INIT;
+	Aw__ServerLimit limit;
 
+	slot->has_permit = false;
 	if (!slot->counted)
 		return;
 	slot->counted = false;
 	slot->awaits_reply = false;
 	if (slot->is_local) {
+		coord_observe_limit(gw->slots.coord, slot->token,
+				    &slot->observed);
 		coord_end(gw->slots.coord, slot->token, end);
 		return;
 	}
 	HASH_DEL(gw->slots.queries, slot);
+	if (slot->observed.state != LIMIT_UNKNOWN) {
+		fill_limit(gw, &slot->observed, &limit);
+		msg.limit = &limit;
+	}
 	msg.token = slot->token;
 	msg.end = kinds[end];
 	datagram.body_case = AW__DATAGRAM__BODY_SLOT_END;
@@ -184,16 +261,50 @@
 	gossip_send(gw->gossip, slot->coordinator, &datagram);
 }
 
+/*
+ * A request that was denied is not counted by the coordinator. One that did not
+ * wait for the reply is never denied.
+ */
+static void apply_permit(struct gw *gw, struct gw_slot *slot,
+			 const struct coord_reply *reply)
+{
+	struct gw_instance *coordinator;
+
+	switch (reply->permit) {
+	case COORD_PERMIT_UNSUPPORTED:
+		coordinator = find_instance(&gw->slots, slot->coordinator);
+		if (coordinator)
+			coordinator->no_permits_until_ms =
+				gw_now_ms(gw) + NO_PERMITS_MS;
+		break;
+	case COORD_PERMIT_GRANTED:
+		slot->has_permit = true;
+		break;
+	case COORD_PERMIT_DENIED:
+		if (!slot->awaits_reply)
+			break;
+		HASH_DEL(gw->slots.queries, slot);
+		slot->counted = false;
+		break;
+	}
+}
+
 static void receive_reply(struct gw *gw, const Aw__SlotTold *msg)
 {
-	const struct coord_reply reply = { .in_flight = msg->running,
-					   .cached = msg->knows };
+	struct coord_reply reply = { .in_flight = msg->running,
+				     .cached = msg->knows,
+				     .retry_ms = msg->retry_ms };
 	struct gw_slot *slot;
 
 	HASH_FIND(hh, gw->slots.queries, &msg->token, sizeof(msg->token), slot);
 	if (!slot)
 		return;
+	if (msg->limit)
+		reply.permit = msg->denied ? COORD_PERMIT_DENIED :
+					     COORD_PERMIT_GRANTED;
+	read_limit(gw, msg->limit, &reply.limit);
 	slot->reply_due_ms = 0;
+	apply_permit(gw, slot, &reply);
 	gw_request_on_slot_reply(slot, &reply);
 }
 
@@ -216,16 +327,20 @@
 static void receive_query(struct gw *gw, const char *from,
 			  const Aw__SlotAsk *msg)
 {
-	const struct coord_query query = { .token = msg->token,
-					   .server = msg->server,
-					   .upstream = msg->upstream,
-					   .has_object = msg->has_object,
-					   .object = msg->object,
-					   .left_ms = msg->left_ms };
+	struct coord_query query = { .token = msg->token,
+				     .server = msg->server,
+				     .upstream = msg->upstream,
+				     .has_object = msg->has_object,
+				     .object = msg->object,
+				     .left_ms = msg->left_ms,
+				     .supports_limits = msg->limit != NULL,
+				     .is_sent = msg->sent };
 	Aw__Datagram datagram = AW__DATAGRAM__INIT;
 	Aw__SlotTold reply_msg = AW__SLOT_TOLD__INIT;
 	struct coord_reply reply;
+	Aw__ServerLimit limit;
 
+	read_limit(gw, msg->limit, &query.limit);
 	/* The querying instance goes on without a reply. */
 	if (coord_query(gw->slots.coord, &query, &reply)) {
 		gw_count(gw, "slots_not_told", "memory");
@@ -234,11 +349,24 @@
 	reply_msg.token = msg->token;
 	reply_msg.running = reply.in_flight;
 	reply_msg.knows = reply.cached;
+	reply_msg.denied = reply.permit == COORD_PERMIT_DENIED;
+	reply_msg.retry_ms = reply.retry_ms;
+	fill_limit(gw, &reply.limit, &limit);
+	reply_msg.limit = &limit;
 	datagram.body_case = AW__DATAGRAM__BODY_SLOT_TOLD;
 	datagram.slot_told = &reply_msg;
 	gossip_send(gw->gossip, from, &datagram);
 }
 
+static void receive_end(struct gw *gw, const Aw__SlotEnd *msg)
+{
+	struct limit observed;
+
+	read_limit(gw, msg->limit, &observed);
+	coord_observe_limit(gw->slots.coord, msg->token, &observed);
+	coord_end(gw->slots.coord, msg->token, end_from_message(msg->end));
+}
+
 void gw_slots_datagram(void *arg, const char *from,
 		       const Aw__Datagram *datagram)
 {
@@ -252,8 +380,7 @@
 		receive_reply(gw, datagram->slot_told);
 		break;
 	case AW__DATAGRAM__BODY_SLOT_END:
-		coord_end(gw->slots.coord, datagram->slot_end->token,
-			  end_from_message(datagram->slot_end->end));
+		receive_end(gw, datagram->slot_end);
 		break;
 	case AW__DATAGRAM__BODY_CRASH_NEWS:
 		gw_crash_receive(gw, datagram->crash_news);
@@ -268,13 +395,11 @@
 
 static void skip_coordinator(struct gw *gw, const struct gw_slot *slot)
 {
-	struct gw_slots *slots = &gw->slots;
+	struct gw_instance *at = find_instance(&gw->slots, slot->coordinator);
 
 	gw_count(gw, "slots_untold", slot->awaits_reply ? "waits" : "tells");
-	for (size_t i = 0; i < slots->nr_instances; i++)
-		if (!strcmp(slots->instances[i].address, slot->coordinator))
-			slots->instances[i].skip_until_ms =
-				gw_now_ms(gw) + SKIP_MS;
+	if (at)
+		at->skip_until_ms = gw_now_ms(gw) + SKIP_MS;
 }
 
 void gw_slots_tick(struct gw *gw)
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -104,6 +104,10 @@
 #define OBJECTS_MAX 50000 /* objects in steer.objects */
 #define OBJECT_SERVERS_MAX 3 /* servers recorded for one object */
 
+/* A permit of this instance's own share that is not used within this time is
+ * lost: the instances must not all have one when their coordinator fails. */
+#define OWN_PERMIT_LIFETIME_MS 2000
+
 #define RETRY_AFTER_MIN_MS 250
 #define RETRY_AFTER_MAX_MS 1200
 
@@ -129,6 +133,8 @@
 	/* Share of the objects that belongs to near servers; negative: not
 	 * known yet. */
 	double near_share;
+	/* Of callers that were refused because of limits. */
+	struct limit_returns returns;
 	UT_hash_handle hh;
 };
 
@@ -149,6 +155,9 @@
 	size_t nr_idle; /* idle connections to it */
 	struct notice notice;
 	struct limit limit;
+	uint64_t denied_until_ms; /* there is no permit before */
+	struct limit_bucket own_permits; /* without a coordinator */
+	uint64_t own_permit_ms; /* when the next of them is due */
 	/* When its coordinator last replied about it. */
 	uint64_t coord_reply_ms;
 	uint64_t coord_reply_object;
@@ -224,9 +233,10 @@
 const char *steer_verdict_name(enum steer_verdict verdict)
 {
 	static const char *const names[] = {
-		[STEER_SEND] = "send",	 [STEER_NO_SERVER] = "no_server",
-		[STEER_BUSY] = "busy",	 [STEER_COLD] = "cold",
-		[STEER_SHIFT] = "shift", [STEER_BACKOFF] = "paused",
+		[STEER_SEND] = "send",	     [STEER_NO_SERVER] = "no_server",
+		[STEER_BUSY] = "busy",	     [STEER_COLD] = "cold",
+		[STEER_SHIFT] = "shift",     [STEER_BACKOFF] = "paused",
+		[STEER_LIMITED] = "limited",
 	};
 
 	return names[verdict];
@@ -886,13 +896,17 @@
 
 /*
  * Once the maximum number of coordinators has been queried, only the servers
- * that they replied about can be chosen.
+ * that they replied about can be chosen. Of those with a limit it must then be
+ * the one that the request has a permit for.
  */
 static bool is_selectable(const struct steer_query *query,
 			  const struct steer_server *server)
 {
 	if (query->nr_queried < STEER_QUERIED_MAX)
 		return true;
+	if (steer_server_is_limited(server) && query->permit_server &&
+	    query->permit_server != (uint32_t)server->hash)
+		return false;
 	for (size_t i = 0; i < query->nr_queried; i++)
 		if (query->queried[i] == (uint32_t)server->hash)
 			return true;
@@ -1167,9 +1181,26 @@
 struct held_back {
 	bool cold;
 	uint64_t backoff_until_ms; /* the earliest end of a backoff, 0: none */
+	bool limited;
+	uint64_t permit_ms; /* if limited: the earliest time of a permit */
 };
 
-static bool is_held_back(struct steer *steer, struct steer_server *server,
+/*
+ * Returns whether the server has a limit and the request cannot get a permit.
+ */
+static bool is_denied(const struct steer *steer,
+		      const struct steer_query *query,
+		      const struct steer_server *server)
+{
+	if (!steer_server_is_limited(server) ||
+	    query->permit_server == (uint32_t)server->hash)
+		return false;
+	return query->denials_exhausted ||
+	       now_ms(steer) < server->denied_until_ms;
+}
+
+static bool is_held_back(struct steer *steer, const struct steer_query *query,
+			 struct steer_server *server,
 			 struct held_back *held_back)
 {
 	uint64_t until_ms = server->notice.backoff_until_ms;
@@ -1185,6 +1216,13 @@
 	default:
 		break;
 	}
+	if (is_denied(steer, query, server)) {
+		if (!held_back->limited ||
+		    server->denied_until_ms < held_back->permit_ms)
+			held_back->permit_ms = server->denied_until_ms;
+		held_back->limited = true;
+		return true;
+	}
 	if (server->cold_until_ms <= now_ms(steer) ||
 	    has_cold_token(steer, server))
 		return false;
@@ -1226,7 +1264,7 @@
 		struct candidate *at = &candidates[nr];
 
 		if (!is_usable(query, server) ||
-		    is_held_back(steer, server, held_back))
+		    is_held_back(steer, query, server, held_back))
 			continue;
 		memset(at, 0, sizeof(*at));
 		at->server = server;
@@ -1352,6 +1390,11 @@
 		fill_choice(steer, least, choice);
 		choice->verdict = shift_limited ? STEER_SHIFT : STEER_BUSY;
 		choice->retry_after_ms = retry_after(steer, least->wait_ms);
+	} else if (held_back.limited) {
+		choice->verdict = STEER_LIMITED;
+		choice->retry_after_ms = limit_returns_next(
+			&upstream->returns, held_back.permit_ms,
+			erand48(steer->random_state), now_ms(steer));
 	} else if (held_back.cold) {
 		choice->verdict = STEER_COLD;
 	} else if (held_back.backoff_until_ms) {
@@ -1375,6 +1418,8 @@
 	server->attempted = true;
 	if (server->cold_until_ms > at_ms)
 		server->cold_tokens -= 1;
+	if (steer_server_is_limited(server))
+		limit_returns_count(&server->upstream->returns, at_ms);
 	if (query->has_object)
 		record_cached(steer, query->object, server);
 }
@@ -1552,6 +1597,9 @@
 		       const struct coord_reply *reply)
 {
 	server->load_at_ms = server->coord_reply_ms = read_clock(steer);
+	limit_update(&server->limit, &reply->limit);
+	if (reply->permit == COORD_PERMIT_DENIED)
+		server->denied_until_ms = now_ms(steer) + reply->retry_ms;
 	server->coord_reply_object = query->object;
 	server->coord_reply_cached = reply->cached;
 	server->others_in_flight =
@@ -1640,6 +1688,32 @@
 	return &server->limit;
 }
 
+bool steer_server_is_limited(const struct steer_server *server)
+{
+	return server->limit.state == LIMIT_NAMED;
+}
+
+/*
+ * The first permit comes at a random part of the time between two, so that all
+ * instances together keep the limit from the start.
+ */
+bool steer_take_own_permit(struct steer *steer, struct steer_server *server,
+			   uint32_t nr_instances)
+{
+	struct limit_bucket *permits = &server->own_permits;
+	uint64_t at_ms = read_clock(steer);
+	uint32_t wait_ms;
+
+	if (at_ms >= permits->filled_ms + OWN_PERMIT_LIFETIME_MS &&
+	    at_ms >= server->own_permit_ms + OWN_PERMIT_LIFETIME_MS)
+		limit_bucket_start(permits, erand48(steer->random_state),
+				   at_ms);
+	wait_ms =
+		limit_bucket_take(permits, &server->limit, nr_instances, at_ms);
+	server->own_permit_ms = server->denied_until_ms = at_ms + wait_ms;
+	return !wait_ms;
+}
+
 bool steer_server_is_leaving(struct steer *steer,
 			     const struct steer_server *server)
 {
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -74,6 +74,11 @@
 	/* Servers whose coordinators were queried for this attempt. */
 	uint32_t queried[STEER_QUERIED_MAX];
 	size_t nr_queried;
+	/* Hash of the id of the server for which the request has a permit,
+	 * 0: none. */
+	uint32_t permit_server;
+	/* No more permits are requested for this request. */
+	bool denials_exhausted;
 	/* Regions in which the request may be handled; none: all. */
 	char *const *regions;
 	size_t nr_regions;
@@ -91,6 +96,8 @@
 	/* Only cold servers are left, and they take no more requests now. */
 	STEER_COLD,
 	STEER_BACKOFF, /* the servers asked for a backoff */
+	/* The servers limit their requests, and there is no permit now. */
+	STEER_LIMITED,
 	STEER_SHIFT /* would move too much traffic between regions at once */
 };
 
@@ -194,6 +201,15 @@
 bool steer_server_update_limit(struct steer *steer, struct steer_server *server,
 			       const struct limit *observed);
 const struct limit *steer_server_limit(const struct steer_server *server);
+bool steer_server_is_limited(const struct steer_server *server);
+
+/*
+ * Takes a permit from this instance's equal share of the server's limit, for
+ * use without a coordinator. Returns false if there is none; the server is then
+ * not chosen until there is.
+ */
+bool steer_take_own_permit(struct steer *steer, struct steer_server *server,
+			   uint32_t nr_instances);
 
 /*
  * These return whether the server may exit for another reason than the requests
--- a/almondward/types.c
+++ b/almondward/types.c
@@ -23,6 +23,7 @@
 	[REFUSAL_RATE_UNKNOWN] = { "rate_unknown", 503 },
 	[REFUSAL_QUEUE_FULL] = { "queue_full", 503 },
 	[REFUSAL_QUEUE_TIMEOUT] = { "queue_timeout", 503 },
+	[REFUSAL_SERVER_LIMIT] = { "server_limit", 503 },
 	[REFUSAL_NO_SERVER] = { "no_server", 503 },
 	[REFUSAL_LINK_BUDGET] = { "link_budget", 503 },
 	[REFUSAL_IDEMPOTENCY_KEY_MISSING] = { "idempotency_key_missing", 400 },
--- a/tests/process_limits.py
+++ b/tests/process_limits.py
@@ -43,10 +43,12 @@
 
 class Load:
     """Callers that send requests at a steady rate, whatever becomes of them."""
-    def __init__(self, cluster, rate, entries=None, method="GET"):
+    def __init__(self, cluster, rate, entries=None, method="GET", returns=False):
         self.cluster, self.rate, self.method = cluster, rate, method
         self.entries = entries or cluster.names("entry")
+        self.returns = returns  # refused callers return once, when they were told
         self.results = []  # (when sent, status or None, time taken, Retry-After or None)
+        self.returned = []  # (when sent, status or None) of those that returned
         self.running = set()
         self.task = asyncio.create_task(self.run())
 
@@ -59,6 +61,13 @@
         retry_after = answer and answer.headers.get("retry-after")
         self.results.append((sent, answer and answer.status, time.monotonic() - sent,
                              float(retry_after) if retry_after else None))
+        if self.returns and answer and answer.status == 503:
+            await asyncio.sleep(float(retry_after))
+            sent = time.monotonic()
+            entry = self.cluster.rng.choice(self.entries)
+            answer = await self.cluster.request(
+                entry, f"/{kind}/{self.cluster.rng.randrange(200)}", self.method)
+            self.returned.append((sent, answer and answer.status))
 
     async def run(self):
         start, number = time.monotonic(), 0
@@ -113,19 +122,46 @@
     for server in cluster.servers.values():
         server.limit = 3
     limit = 3 * len(cluster.servers)
-    load = Load(cluster, 50)
+    load = Load(cluster, 50, returns=True)
     named = time.monotonic()
     await asyncio.sleep(CONTACT_S + 10)
     end = time.monotonic()
     await load.stop()
     for server in cluster.servers.values():
         check_limit(server, 3, named + CONTACT_S, end)
-    served = load.count(200, named + CONTACT_S, end - 1) / (end - 1 - named - CONTACT_S)
-    print(f"# served {served:.1f}/s of {limit}/s", flush=True)
+    first = [status for at, status, *_ in load.results if named + CONTACT_S <= at < end - 1]
+    again = [status for at, status in load.returned if named + CONTACT_S <= at < end - 1]
+    served = (first + again).count(200) / (end - 1 - named - CONTACT_S)
+    print(f"# served {served:.1f}/s of {limit}/s: {first.count(200)} of {len(first)} that came "
+          f"for the first time and {again.count(200)} of {len(again)} that returned", flush=True)
     assert served >= 0.8 * limit, served
+    assert again.count(200) / len(again) >= 0.7 * first.count(200) / len(first)
     load.check_refusals()
 
 
+async def refused_callers_return_in_time(cluster):
+    """More callers come at one moment than the servers take, and none after them:
+    each that returns when it was told is served then."""
+    for server in cluster.servers.values():
+        server.limit = 3
+    load = Load(cluster, 20)
+    await asyncio.sleep(CONTACT_S)
+    await load.stop()
+    await asyncio.sleep(1)
+    load = Load(cluster, 600, returns=True)
+    await asyncio.sleep(0.1)
+    load.task.cancel()
+    await asyncio.sleep(7)
+    refused = sum(status == 503 for _, status, _, _ in load.results)
+    again = [status for _, status in load.returned]
+    waits = sorted(after for _, _, _, after in load.results if after)
+    print(f"# {refused} of {len(load.results)} were refused for {waits[0]:.2f} to "
+          f"{waits[-1]:.2f} s, {again.count(200)} of {len(again)} served when they returned",
+          flush=True)
+    assert refused >= 20, refused
+    assert len(again) == refused and again.count(200) >= 0.9 * refused, (refused, again)
+
+
 async def limit_is_lowered_raised_and_dropped(cluster):
     """A limit is followed in both directions; an unreadable one leaves the known
     one in force; without one the server takes any number again."""
@@ -262,7 +298,7 @@
 def main():
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    cases = [limit_covers_all_instances, all_servers_limited,
+    cases = [limit_covers_all_instances, all_servers_limited, refused_callers_return_in_time,
              limit_is_lowered_raised_and_dropped, limit_with_uneven_traffic,
              limit_for_second_attempts_and_writes, limit_while_instances_fail,
              limit_of_cold_servers, limit_of_zero]
--- a/tests/steer_test.cc
+++ b/tests/steer_test.cc
@@ -1004,6 +1004,121 @@
 	EXPECT_EQ(id(first), id(pick(query(1))));
 }
 
+static struct coord_reply limit_reply(enum coord_permit permit,
+				      uint32_t retry_ms, uint64_t at_ms)
+{
+	struct coord_reply reply = {};
+
+	reply.permit = permit;
+	reply.retry_ms = retry_ms;
+	reply.limit = { LIMIT_NAMED, 4000, at_ms };
+	return reply;
+}
+
+// A server whose coordinator denied a permit must not be sent requests, nor
+// asked for again, until the time of the next one.
+TEST_F(Steer, DeniedServerIsNotChosenBeforeTheNextPermit)
+{
+	add("s1", "a1");
+	add("s2", "a2");
+	sync();
+	auto request = query(1);
+	auto first = pick(request);
+	auto denied = limit_reply(COORD_PERMIT_DENIED, 250, clk_now_ms(clk));
+
+	steer_coord_reply(steer, first.server, &request, &denied);
+	EXPECT_TRUE(steer_server_is_limited(first.server));
+	auto second = pick(query(1));
+	ASSERT_EQ(STEER_SEND, second.verdict);
+	EXPECT_NE(id(first), id(second));
+	clk_advance_ms(clk, 249);
+	EXPECT_EQ(id(second), id(pick(query(1))));
+	clk_advance_ms(clk, 1);
+	EXPECT_EQ(id(first), id(pick(query(1))));
+}
+
+// One request was denied, another one has a permit already.
+TEST_F(Steer, RequestWithAPermitKeepsItsServer)
+{
+	add("s1", "a1");
+	add("s2", "a2");
+	sync();
+	auto request = query(1), other = query(1);
+	auto first = pick(request);
+	auto denied = limit_reply(COORD_PERMIT_DENIED, 250, clk_now_ms(clk));
+
+	request.permit_server = steer_server_hash(first.server);
+	steer_coord_reply(steer, first.server, &other, &denied);
+	EXPECT_EQ(id(first), id(pick(request)));
+	EXPECT_NE(id(first), id(pick(other)));
+}
+
+// What no server may take is refused at once, with the time of the next permit.
+TEST_F(Steer, LimitedServersRefuseUntilTheNextPermit)
+{
+	add("s1", "a1");
+	add("s2", "b1");
+	sync();
+	for (auto name : { "s1", "s2" }) {
+		auto request = query(1);
+		auto denied = limit_reply(COORD_PERMIT_DENIED,
+					  strcmp(name, "s1") ? 900 : 700,
+					  clk_now_ms(clk));
+
+		steer_coord_reply(steer, steer_find(steer, name), &request,
+				  &denied);
+	}
+	auto choice = pick(query(1));
+	EXPECT_EQ(STEER_LIMITED, choice.verdict);
+	EXPECT_EQ(nullptr, choice.server);
+	EXPECT_EQ(700u, choice.retry_after_ms);
+	clk_advance_ms(clk, 700);
+	EXPECT_EQ("s1", id(pick(query(1))));
+	auto exhausted = query(1);
+	exhausted.denials_exhausted = true;
+	EXPECT_EQ(STEER_LIMITED, pick(exhausted).verdict);
+}
+
+// Without a coordinator the instances keep the limit together, from the first
+// moment on.
+TEST_F(Steer, OwnPermitsOfAllInstancesKeepTheLimit)
+{
+	static const uint32_t NR_INSTANCES = 60;
+	std::vector<struct steer *> others;
+	int nr = 0;
+
+	add("s1", "a1");
+	for (uint32_t i = 0; i < NR_INSTANCES; i++) {
+		auto request = query(1);
+		auto granted =
+			limit_reply(COORD_PERMIT_GRANTED, 0, clk_now_ms(clk));
+
+		start("a1", ("entry-" + std::to_string(i)).c_str());
+		sync();
+		steer_coord_reply(steer, steer_find(steer, "s1"), &request,
+				  &granted);
+		others.push_back(steer);
+		steer = nullptr;
+	}
+	for (int i = 0; i < 400; i++) {
+		for (auto at : others)
+			nr += steer_take_own_permit(at, steer_find(at, "s1"),
+						    NR_INSTANCES);
+		clk_advance_ms(clk, 10);
+	}
+	EXPECT_GE(nr, 8) << "of 16 in 4 s";
+	EXPECT_LE(nr, 24);
+	// Permits of an earlier failure are lost.
+	clk_advance_ms(clk, 60000);
+	nr = 0;
+	for (auto at : others)
+		nr += steer_take_own_permit(at, steer_find(at, "s1"),
+					    NR_INSTANCES);
+	EXPECT_LE(nr, 2);
+	for (auto at : others)
+		steer_destroy(at);
+}
+
 // A request that was not sent because of a notice shows nothing about the
 // server.
 TEST_F(Steer, WithdrawnAttemptIsNoFailure)
