--- a/almondward/limit.h
+++ b/almondward/limit.h
@@ -33,8 +33,8 @@
 #define LIMIT_DEBT_MAX_MS 4000
 /* Denials are valid for at least this time, which limits the queries. */
 #define LIMIT_DENIAL_MIN_MS 20
-/* Callers that are refused for lack of permits are told to return after this
- * time at the earliest. */
+/* Callers that are refused for lack of permits return after this time at the
+ * earliest. */
 #define LIMIT_RETURN_MIN_MS 250
 /* They are spread over at most this time; few would wait longer. */
 #define LIMIT_RETURN_MAX_MS 5000
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -65,6 +65,27 @@
 }
 
 
+# From LIMIT_CONTACT_S after a server has named a limit, it may get this many
+# requests in any window of LIMIT_WINDOW_S.
+LIMIT_WINDOW_S = 4.0
+LIMIT_CONTACT_S = 4.0
+
+
+def limit_allows(limit):
+    return 1.5 * limit * LIMIT_WINDOW_S + 5
+
+
+def most_in_window(arrivals, start, end):
+    """Returns the most arrivals in any window of LIMIT_WINDOW_S from start to end."""
+    times = sorted(t for t in arrivals if start <= t < end)
+    first = most = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - LIMIT_WINDOW_S:
+            first += 1
+        most = max(most, last + 1 - first)
+    return most
+
+
 class Answer:
     def __init__(self, status, headers, body):
         self.status, self.headers, self.body = status, headers, body
--- a/tests/limit_test.cc
+++ b/tests/limit_test.cc
@@ -212,8 +212,8 @@
 	}
 };
 
-// An instance that has not received a response with the limit is told it by
-// the coordinator, which was told it by another one.
+// An instance that has not received a response with the limit learns it from
+// the coordinator, which learned it from another instance.
 TEST_F(CoordLimit, LimitOfOneInstanceAppliesToAll)
 {
 	EXPECT_EQ(COORD_PERMIT_GRANTED, ask(query()).permit);
--- a/tests/process_limits.py
+++ b/tests/process_limits.py
@@ -9,36 +9,19 @@
 
 import cluster as clusterlib
 
-WINDOW_S = 4.0
-# The instances have this time from the first response that names a limit.
-CONTACT_S = 4.0
+CONTACT_S = clusterlib.LIMIT_CONTACT_S
 # A refusal costs the queries to a few coordinators, the nearest of which are a
 # fraction of a millisecond away.
 REFUSAL_MAX_S = 0.5
 
 
-def allowed(limit):
-    """Returns the most requests that a server may get in a window."""
-    return 1.5 * limit * WINDOW_S + 5
-
-
-def most_in_window(arrivals, start, end):
-    """Returns the most arrivals in any window between start and end."""
-    times = sorted(t for t in arrivals if start <= t < end)
-    first = most = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - WINDOW_S:
-            first += 1
-        most = max(most, last + 1 - first)
-    return most
-
-
 def check_limit(server, limit, start, end):
-    most = most_in_window(server.arrivals, start, end)
+    most = clusterlib.most_in_window(server.arrivals, start, end)
+    allowed = clusterlib.limit_allows(limit)
     total = sum(start <= t < end for t in server.arrivals)
     print(f"# {server.name}: limit {limit}/s, {total / (end - start):.1f}/s, at most {most} in "
-          f"4 s, {allowed(limit):.0f} allowed", flush=True)
-    assert most <= allowed(limit), (server.name, most, allowed(limit))
+          f"4 s, {allowed:.0f} allowed", flush=True)
+    assert most <= allowed, (server.name, most, allowed)
 
 
 class Load:
@@ -230,7 +213,8 @@
 async def limit_while_instances_fail(cluster):
     """Instances are killed, stand still, come back and stop as planned, one after
     the other, so that the coordinator of each server changes several times; control
-    instances fail as well. The limit holds all the while, and most of it is used."""
+    instances fail as well, and a new instance joins. The limit holds all the while,
+    and most of it is used."""
     for server in cluster.servers.values():
         server.limit = 3
     limit = 3 * len(cluster.servers)
@@ -252,6 +236,12 @@
             cluster.start(name)
         load.entries = entries
         await asyncio.sleep(2)
+    ip = cluster.instances["entry-0"][0]
+    cluster.instances["entry-4"] = (ip[:-1] + "5", "a2", "entry")
+    cluster.start("entry-4")
+    await asyncio.sleep(1)
+    load.entries = entries + ["entry-4"]
+    await asyncio.sleep(3)
     end = time.monotonic()
     await load.stop()
     for server in cluster.servers.values():
@@ -261,6 +251,33 @@
     assert served >= 0.6 * limit, served
 
 
+async def limit_without_control(cluster):
+    """No control instance is left, so nothing removes an entry instance that ends
+    from the list. The limit holds for the servers whose coordinator it was, and the
+    other instances use most of it with their own shares."""
+    for server in cluster.servers.values():
+        server.limit = 6
+    limit = 6 * len(cluster.servers)
+    load = Load(cluster, 80)
+    start = time.monotonic()
+    await asyncio.sleep(CONTACT_S)
+    for name in cluster.names("control"):
+        cluster.kill(name)
+    for name in ("entry-0", "entry-1"):
+        load.entries = [e for e in load.entries if e != name]
+        await asyncio.sleep(0.5)
+        begin = time.monotonic()
+        cluster.kill(name)
+        await asyncio.sleep(5)
+        end = time.monotonic()
+        served = load.count(200, begin, end - 0.5) / (end - 0.5 - begin)
+        print(f"# without {name}: served {served:.1f}/s of {limit}/s", flush=True)
+        assert served >= 0.4 * limit, served
+    await load.stop()
+    for server in cluster.servers.values():
+        check_limit(server, 6, start + CONTACT_S, end)
+
+
 async def limit_of_cold_servers(cluster):
     """Servers end and come back cold, under the same id and with a limit: both the
     limit and the rate of a cold server hold."""
@@ -301,7 +318,7 @@
     cases = [limit_covers_all_instances, all_servers_limited, refused_callers_return_in_time,
              limit_is_lowered_raised_and_dropped, limit_with_uneven_traffic,
              limit_for_second_attempts_and_writes, limit_while_instances_fail,
-             limit_of_cold_servers, limit_of_zero]
+             limit_without_control, limit_of_cold_servers, limit_of_zero]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(
         build, case, nr_entries=4, nr_servers=6)) for case in cases
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,13 +6,15 @@
 
 All faults are injected from outside. Processes are killed, paused, stopped and
 restarted by signals, and the disks of control instances are wiped. Backend
-servers reset connections, truncate responses, shed requests, leave and join.
+servers reset connections, truncate responses, shed requests, leave and join,
+and some name a limit of requests a second.
 Every response and every request that a server runs is checked.
 """
 import asyncio
 import random
 import signal
 import sys
+import time
 
 import cluster as clusterlib
 
@@ -117,6 +119,23 @@
             await cluster.add_server(f"joined-{joined}")
 
 
+async def name_limits(cluster, rng, end):
+    """One server names the same limit all the while, and others change theirs."""
+    loop = asyncio.get_running_loop()
+    servers = list(cluster.servers.values())
+    limited = servers.pop(rng.randrange(len(servers)))
+    limited.limit = round(rng.uniform(1, 6), 1)
+    start = time.monotonic()
+    while loop.time() < end:
+        rng.choice(servers).limit = rng.choice([None, None, "few", round(rng.uniform(0, 20), 1)])
+        await asyncio.sleep(rng.random())
+    most = clusterlib.most_in_window(limited.arrivals, start + clusterlib.LIMIT_CONTACT_S,
+                                     time.monotonic())
+    if most > clusterlib.limit_allows(limited.limit):
+        cluster.broken.append(f"{limited.name} with a limit of {limited.limit}/s got {most} "
+                              f"requests in {clusterlib.LIMIT_WINDOW_S} s")
+
+
 async def run_seed(cluster, seed):
     """Runs load, changes and faults for SECONDS. Afterwards all entry instances
     must serve again, and the plan must contain the last acknowledged change and
@@ -130,11 +149,12 @@
         *(send_requests(cluster, random.Random(rng.random()), entries[i % len(entries)], end)
           for i in range(8)),
         change_plans(cluster, random.Random(rng.random()), end, state),
-        inject_faults(cluster, random.Random(rng.random()), end))
+        inject_faults(cluster, random.Random(rng.random()), end),
+        name_limits(cluster, random.Random(rng.random()), end))
     for name in cluster.processes:
         cluster.signal(name, signal.SIGCONT)
     for server in cluster.servers.values():
-        server.fault, server.work_s = None, 0.02
+        server.fault, server.work_s, server.limit = None, 0.02, None
     for name in cluster.names("entry"):
         await cluster.wait(f"{name} serves again", lambda n=name: cluster.serves(n), 15)
     read = None
