steer: Ask for permits again before a distant one is due

A denial kept a server unused until the next permit, however distant: 10 s for a limit of zero, and the time between two permits of one instance's share, 49 s with 195 instances and a limit of 4, also when the limit was raised meanwhile or the coordinator replied again after a second. What the server takes was refused. Permits are requested again after half a second, and at once when the limit is known to have changed; Retry-After still has the time of the permit. Steer.DeniedServerIsTriedAgainWhenItsLimitMayBeHigher and LackOfOwnPermitsLastsAShortTime failed before and pass.

--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -107,6 +107,10 @@
 /* A permit of this instance's own share that is not used within this time is
  * lost: the instances must not all have one when their coordinator fails. */
 #define OWN_PERMIT_LIFETIME_MS 2000
+/* After a denial a permit is requested again after this time at the latest,
+ * even if none is due yet: the limit may have been raised, or the coordinator
+ * may reply again. */
+#define DENIED_MAX_MS 500
 
 #define RETRY_AFTER_MIN_MS 250
 #define RETRY_AFTER_MAX_MS 1200
@@ -155,9 +159,9 @@
 	size_t nr_idle; /* idle connections to it */
 	struct notice notice;
 	struct limit limit;
-	uint64_t denied_until_ms; /* there is no permit before */
+	uint64_t permit_ms; /* when the next permit is due */
+	uint64_t denied_until_ms; /* no permit is requested before */
 	struct limit_bucket own_permits; /* without a coordinator */
-	uint64_t own_permit_ms; /* when the next of them is due */
 	/* When its coordinator last replied about it. */
 	uint64_t coord_reply_ms;
 	uint64_t coord_reply_object;
@@ -1218,8 +1222,8 @@
 	}
 	if (is_denied(steer, query, server)) {
 		if (!held_back->limited ||
-		    server->denied_until_ms < held_back->permit_ms)
-			held_back->permit_ms = server->denied_until_ms;
+		    server->permit_ms < held_back->permit_ms)
+			held_back->permit_ms = server->permit_ms;
 		held_back->limited = true;
 		return true;
 	}
@@ -1592,14 +1596,36 @@
 			at->cached_at[i] = (struct object_server){ 0 };
 }
 
+/*
+ * What was denied under another limit may be granted now.
+ */
+static bool update_limit(struct steer_server *server,
+			 const struct limit *observed)
+{
+	bool changed = limit_update(&server->limit, observed);
+
+	if (changed)
+		server->denied_until_ms = 0;
+	return changed;
+}
+
+static void set_denied(const struct steer *steer, struct steer_server *server,
+		       uint32_t wait_ms)
+{
+	server->permit_ms = now_ms(steer) + wait_ms;
+	server->denied_until_ms =
+		now_ms(steer) +
+		(wait_ms < DENIED_MAX_MS ? wait_ms : DENIED_MAX_MS);
+}
+
 void steer_coord_reply(struct steer *steer, struct steer_server *server,
 		       const struct steer_query *query,
 		       const struct coord_reply *reply)
 {
 	server->load_at_ms = server->coord_reply_ms = read_clock(steer);
-	limit_update(&server->limit, &reply->limit);
+	update_limit(server, &reply->limit);
 	if (reply->permit == COORD_PERMIT_DENIED)
-		server->denied_until_ms = now_ms(steer) + reply->retry_ms;
+		set_denied(steer, server, reply->retry_ms);
 	server->coord_reply_object = query->object;
 	server->coord_reply_cached = reply->cached;
 	server->others_in_flight =
@@ -1680,7 +1706,7 @@
 bool steer_server_update_limit(struct steer *steer, struct steer_server *server,
 			       const struct limit *observed)
 {
-	return limit_update(&find_listed(steer, server)->limit, observed);
+	return update_limit(find_listed(steer, server), observed);
 }
 
 const struct limit *steer_server_limit(const struct steer_server *server)
@@ -1704,13 +1730,13 @@
 	uint64_t at_ms = read_clock(steer);
 	uint32_t wait_ms;
 
-	if (at_ms >= permits->filled_ms + OWN_PERMIT_LIFETIME_MS &&
-	    at_ms >= server->own_permit_ms + OWN_PERMIT_LIFETIME_MS)
+	if (at_ms >= permits->filled_ms + OWN_PERMIT_LIFETIME_MS)
 		limit_bucket_start(permits, erand48(steer->random_state),
 				   at_ms);
 	wait_ms =
 		limit_bucket_take(permits, &server->limit, nr_instances, at_ms);
-	server->own_permit_ms = server->denied_until_ms = at_ms + wait_ms;
+	if (wait_ms)
+		set_denied(steer, server, wait_ms);
 	return !wait_ms;
 }
 
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -206,7 +206,7 @@
 /*
  * Takes a permit from this instance's equal share of the server's limit, for
  * use without a coordinator. Returns false if there is none; the server is then
- * not chosen until there is.
+ * not chosen for a short time.
  */
 bool steer_take_own_permit(struct steer *steer, struct steer_server *server,
 			   uint32_t nr_instances);
--- a/tests/steer_test.cc
+++ b/tests/steer_test.cc
@@ -1037,6 +1037,48 @@
 	EXPECT_EQ(id(first), id(pick(query(1))));
 }
 
+// A denial under an earlier limit must not keep a server unused when the limit
+// was raised, whether this or another instance has seen that.
+TEST_F(Steer, DeniedServerIsTriedAgainWhenItsLimitMayBeHigher)
+{
+	add("s1", "a1");
+	sync();
+	auto request = query(1);
+	auto denied = limit_reply(COORD_PERMIT_DENIED, 10000, clk_now_ms(clk));
+	auto server = steer_find(steer, "s1");
+
+	steer_coord_reply(steer, server, &request, &denied);
+	auto refused = pick(query(1));
+	EXPECT_EQ(STEER_LIMITED, refused.verdict);
+	EXPECT_EQ(10000u, refused.retry_after_ms);
+	clk_advance_ms(clk, 1000);
+	EXPECT_EQ(STEER_SEND, pick(query(1)).verdict);
+	denied.limit.observed_ms = clk_now_ms(clk);
+	steer_coord_reply(steer, server, &request, &denied);
+	EXPECT_EQ(STEER_LIMITED, pick(query(1)).verdict);
+	struct limit raised = { LIMIT_NAMED, 9000, clk_now_ms(clk) + 1 };
+	steer_server_update_limit(steer, server, &raised);
+	EXPECT_EQ(STEER_SEND, pick(query(1)).verdict);
+}
+
+// Without a coordinator the share of one instance may be a request in a minute.
+// The server must not be left unused for so long when the coordinator replies
+// again.
+TEST_F(Steer, LackOfOwnPermitsLastsAShortTime)
+{
+	add("s1", "a1");
+	sync();
+	auto request = query(1);
+	auto granted = limit_reply(COORD_PERMIT_GRANTED, 0, clk_now_ms(clk));
+	auto server = steer_find(steer, "s1");
+
+	steer_coord_reply(steer, server, &request, &granted);
+	EXPECT_FALSE(steer_take_own_permit(steer, server, 240));
+	EXPECT_EQ(STEER_LIMITED, pick(query(1)).verdict);
+	clk_advance_ms(clk, 1000);
+	EXPECT_EQ(STEER_SEND, pick(query(1)).verdict);
+}
+
 // One request was denied, another one has a permit already.
 TEST_F(Steer, RequestWithAPermitKeepsItsServer)
 {
