coord, limit: Give a server without requests for a while a permit at once

A coordinator that learned of a limit began without permits, also where the last response of the server was long ago: a lone request to a service whose servers name low limits was refused, though they had taken none for a minute. It begins with the permits of the time since the last response that the instance knows of, which are none if the server is in use.

--- a/almondward/coord.c
+++ b/almondward/coord.c
@@ -161,14 +161,18 @@
 	return at;
 }
 
-static void update_limit(struct server *server, const struct limit *observed,
-			 uint64_t now_ms)
+/*
+ * A coordinator that learns of a limit does not know the requests before. There
+ * were few if the last response is long ago.
+ */
+static void update_limit(struct server *server, const struct limit *observed)
 {
 	bool was_named = server->limit.state == LIMIT_NAMED;
 
 	limit_update(&server->limit, observed);
 	if (server->limit.state == LIMIT_NAMED && !was_named)
-		limit_bucket_start(&server->permits, 0, now_ms);
+		limit_bucket_start(&server->permits, 0,
+				   server->limit.observed_ms);
 }
 
 void coord_observe_limit(struct coord *coord, uint64_t token,
@@ -177,7 +181,7 @@
 	struct request *at = find_request(coord, token);
 
 	if (at)
-		update_limit(at->server, observed, clk_now_ms(coord->clk));
+		update_limit(at->server, observed);
 }
 
 /*
@@ -227,7 +231,7 @@
 	if (at)
 		replace_request(coord, at);
 	server->used_ms = now_ms;
-	update_limit(server, &query->limit, now_ms);
+	update_limit(server, &query->limit);
 	*reply = (struct coord_reply){ .in_flight = server->in_flight,
 				       .limit = server->limit };
 	grant_permit(server, query, now_ms, reply);
--- a/almondward/limit.c
+++ b/almondward/limit.c
@@ -21,10 +21,10 @@
 }
 
 void limit_bucket_start(struct limit_bucket *bucket, double permits,
-			uint64_t now_ms)
+			uint64_t since_ms)
 {
 	bucket->permits = permits;
-	bucket->filled_ms = now_ms;
+	bucket->filled_ms = since_ms;
 }
 
 static double get_per_ms(const struct limit *limit, uint32_t nr_sharing)
--- a/almondward/limit.h
+++ b/almondward/limit.h
@@ -64,10 +64,11 @@
 };
 
 /*
- * Begins with this number of permits.
+ * Begins with this number of permits at since_ms, which may be past: further
+ * ones are added from then on.
  */
 void limit_bucket_start(struct limit_bucket *bucket, double permits,
-			uint64_t now_ms);
+			uint64_t since_ms);
 
 /*
  * Takes a permit of a limit that nr_sharing instances share equally. Returns 0,
@@ -96,7 +97,7 @@
 struct limit_returns {
 	double permits_per_ms; /* that this instance used, on average */
 	uint64_t measured_ms; /* when the average was last updated */
-	uint64_t awaited_ms; /* permits before this are left to such callers */
+	uint64_t awaited_ms; /* return time of the next caller, if not past */
 };
 
 /*
