gateway: Open no connection for a request that a limit may deny

While a far coordinator was asked for a permit, a connection to the server was opened, also for requests that were then denied: a server in need got a new connection for each of them, and each may hold a slot for a moment. For a server with a limit the connection is now opened when the request is sent.

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1058,7 +1058,9 @@
 		 steer_server_id(server));
 	state = gw_slot_query(gw, &request->slot, server, &request->query,
 			      await_reply);
+	/* No connection is opened for a request that may be denied. */
 	if (state == GW_SLOT_PENDING && !steer_server_idle(server) &&
+	    !steer_server_is_limited(server) &&
 	    strcmp(steer_server_region(server), gw->settings->cluster.region))
 		gw_backend_preconnect(gw, server);
 	return state;
