--- a/tests/process_limits.py
+++ b/tests/process_limits.py
@@ -25,7 +25,9 @@
 
 
 class Load:
-    """Callers that send requests at a steady rate, whatever becomes of them."""
+    """Callers that send requests at random times, at a steady rate on average, whatever
+    becomes of them. At even times each would come after a longer pause than one that
+    returns, and find a permit more often."""
     def __init__(self, cluster, rate, entries=None, method="GET", returns=False):
         self.cluster, self.rate, self.method = cluster, rate, method
         self.entries = entries or cluster.names("entry")
@@ -53,13 +55,14 @@
             self.returned.append((sent, answer and answer.status))
 
     async def run(self):
-        start, number = time.monotonic(), 0
+        at, number = time.monotonic(), 0
         while True:
             task = asyncio.create_task(self.send(number))
             self.running.add(task)
             task.add_done_callback(self.running.discard)
             number += 1
-            await asyncio.sleep(max(0, start + number / self.rate - time.monotonic()))
+            at += self.cluster.rng.expovariate(self.rate)
+            await asyncio.sleep(max(0, at - time.monotonic()))
 
     async def stop(self):
         self.task.cancel()
@@ -107,7 +110,7 @@
     limit = 3 * len(cluster.servers)
     load = Load(cluster, 50, returns=True)
     named = time.monotonic()
-    await asyncio.sleep(CONTACT_S + 10)
+    await asyncio.sleep(CONTACT_S + 20)
     end = time.monotonic()
     await load.stop()
     for server in cluster.servers.values():
