steer, settings, entry: Remove constants without use and a second one

The machine code of the three files is the same before and after, except for the line number in an assertion of steer.c (compared section .text and the disassembly).

--- a/almondward/entry_announce.c
+++ b/almondward/entry_announce.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 #include "entry_http.h"
+#include "registry.h"
 
 #define HEARTBEAT_MS 1000
-#define SLOTS_MAX 10000 /* limit of the leader, see registry.h */
 /* 2^53: JSON numbers are exact up to this value. */
 #define JSON_NUMBER_MAX 9007199254740992.0
 
@@ -91,7 +91,7 @@
 	announcement->zone = read_name(root, "zone");
 	if (!announcement->zone)
 		return "zone is not a name of 1 to 63 bytes";
-	if (!read_number(root, "slots", &slots) || !slots || slots > SLOTS_MAX)
+	if (!read_number(root, "slots", &slots) || !slots || slots > REG_SLOTS_MAX)
 		return "slots is not a number from 1 to 10000";
 	announcement->slots = (uint32_t)slots;
 	return NULL;
--- a/almondward/settings_cluster.c
+++ b/almondward/settings_cluster.c
@@ -8,9 +8,6 @@
  * Reads the "cluster" table: the settings of a seeded cluster.
  */
 
-/* Unused. */
-#define MILLI_DIGITS 3
-
 #define NUMBER_MAX 86400
 
 enum field {
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -70,10 +70,6 @@
  * one request at once beside its share of the rate. */
 #define COLD_INSTANCES_MAX 4
 
-/* Unused: lifetime of another instance's counts in an earlier version, in which
- * instances repeated them four times a second; see NEED_LIFETIME_MS. */
-#define PEER_MS 800
-
 /* Share of the near servers' slots that the objects of the region may occupy on
  * average. Objects beyond that belong to far servers: a server that is sent
  * more objects than fit into its cache finds none of them cached. */
