--- a/almondward/entry_announce.c
+++ b/almondward/entry_announce.c
@@ -91,7 +91,8 @@
 	announcement->zone = read_name(root, "zone");
 	if (!announcement->zone)
 		return "zone is not a name of 1 to 63 bytes";
-	if (!read_number(root, "slots", &slots) || !slots || slots > REG_SLOTS_MAX)
+	if (!read_number(root, "slots", &slots) || !slots ||
+	    slots > REG_SLOTS_MAX)
 		return "slots is not a number from 1 to 10000";
 	announcement->slots = (uint32_t)slots;
 	return NULL;
