loop: Refuse a socket beyond the tables of libwebsockets

libwebsockets sizes its tables by the limit of open files when its context is created. It refuses a descriptor beyond them, but clears the entry of that descriptor on the way: valgrind shows a write of 8 bytes right after the table of 320 bytes. On x86-64 the bytes hit nothing that the test noticed.

Such a descriptor is refused before libwebsockets sees it. It can happen only where the limit is raised after the start.

--- a/almondward/loop.c
+++ b/almondward/loop.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "log.h"
 
@@ -55,6 +56,7 @@
 	info.uid = -1;
 	info.pt_serv_buf_size = RECEIVE_BYTES_MAX;
 	info.options = LWS_SERVER_OPTION_LIBEV | LWS_SERVER_OPTION_DISABLE_IPV6;
+	loop->descriptors_max = getdtablesize();
 	loop->lws = lws_create_context(&info);
 	if (!loop->lws) {
 		log_error(LOOP_LOG_COMPONENT,
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -186,7 +186,8 @@
 	struct loop_conn *conn = calloc(1, sizeof(*conn));
 	lws_adopt_desc_t desc = { .type = LWS_ADOPT_SOCKET };
 
-	if (!conn || set_options(fd)) {
+	/* libwebsockets writes beyond its tables for such a descriptor. */
+	if (!conn || fd >= loop->descriptors_max || set_options(fd)) {
 		free(conn);
 		close(fd);
 		return NULL;
--- a/almondward/loop_private.h
+++ b/almondward/loop_private.h
@@ -20,6 +20,8 @@
 	struct loop_conn *conns;
 	struct loop_listener *listeners;
 	struct pace pace; /* send rate of large bodies */
+	/* The tables of libwebsockets have entries for descriptors below it. */
+	int descriptors_max;
 	ev_signal sigterm;
 	ev_signal sigint;
 	void (*stop_fn)(void *arg);
