loop: Handle ready sockets before timers that have expired

After a stall (a new plan on a slow machine, many requests at once) sockets and timers are ready in the same iteration of the loop. libev calls watchers of one priority in reverse order, so the timers came first:

- An idle timeout closed the caller's connection although a whole request was in the socket. libwebsockets then read the request and discarded it, so the caller got neither an answer nor a refusal, and could not repeat it.
- A request whose rest had arrived in time was refused as too slow.
- A server's response that had arrived in time was discarded as a timeout; the caller of a request that is not idempotent got 504.

Timers now have a lower priority than sockets. What was in the socket when the loop noticed the time is read before the timeout is reported.

All three tests failed before:

RequestReceivedDuringStallOutlastsIdleTimeout: closed: true received: RestReceivedDuringStallIsInTime: expected 200, got 400 (head and body) ResponseReceivedDuringStallIsInTime: expected HTTP_OK, got 4 (HTTP_TIMEOUT)

--- a/almondward/loop.c
+++ b/almondward/loop.c
@@ -12,6 +12,8 @@
 
 /* A data callback gets at most this much at once. */
 #define RECEIVE_BYTES_MAX 32768
+/* Watchers of sockets have libev's default priority 0. */
+#define TIMER_PRIORITY (-1)
 
 static const struct lws_protocols protocols[] = {
 	{ .name = "almondward", .callback = loop_lws_callback },
@@ -210,6 +212,11 @@
 	timer->fn = fn;
 	timer->arg = arg;
 	ev_timer_init(&timer->watcher, on_timer, 0, 0);
+	/*
+	 * Below that of the sockets: after a stall, data that arrived in time
+	 * is read before the timeout that waits for it is reported.
+	 */
+	ev_set_priority(&timer->watcher, TIMER_PRIORITY);
 	timer->watcher.data = timer;
 }
 
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -77,6 +77,7 @@
 
 /*
  * Calls the timer's function once after delay_ms. Replaces an earlier setting.
+ * Sockets that became ready before the loop noticed the time are handled first.
  */
 void loop_timer_set(struct loop_timer *timer, uint64_t delay_ms);
 void loop_timer_cancel(struct loop_timer *timer);
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 #include "http.h"
 #include "net_fixture.h"
 
@@ -639,3 +641,18 @@
 	ASSERT_EQ(2u, c.failed_headers.size());
 	EXPECT_EQ("Server-Leaving", c.failed_headers[0]);
 }
+
+// A response that is complete in the socket before the time limit must not be
+// discarded because the process was stalled and reads it later.
+TEST(HttpClient, ResponseReceivedDuringStallIsInTime)
+{
+	Client c;
+
+	c.call.timeout_ms = 100;
+	c.start_and_wait();
+	c.server.last.send(OK + CL3 + "\r\nabc");
+	usleep(200000);
+	ASSERT_TRUE(c.finish());
+	EXPECT_EQ(HTTP_OK, c.result);
+	EXPECT_EQ("abc", c.response_body);
+}
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -2,6 +2,8 @@
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 #include "http.h"
 #include "net_fixture.h"
 
@@ -538,6 +540,49 @@
 	}
 }
 
+// Stalls are simulated by not running the loop. A request that is complete in
+// the socket when the idle timeout has passed must not be dropped.
+TEST(HttpServer, RequestReceivedDuringStallOutlastsIdleTimeout)
+{
+	Server s(100);
+	RawConn raw(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 1; }));
+	raw.send("GET /x" + H + "\r\n");
+	usleep(200000);
+	EXPECT_TRUE(s.net.until([&] {
+		return count(raw.received, "</x>") == 1;
+	})) << "closed: "
+	    << raw.closed << " received: " << raw.received;
+}
+
+// The rest of a request that arrived before its time limit must not be taken
+// for late because the process reads it late.
+TEST(HttpServer, RestReceivedDuringStallIsInTime)
+{
+	const std::string parts[][2] = {
+		{ "GET /x", H + "\r\n" },
+		{ "POST /x" + H + "Content-Length: 4\r\n\r\nab", "cd" },
+	};
+
+	for (const auto &part : parts) {
+		Server s(100);
+		RawConn raw(s.net, s.address());
+
+		raw.send(part[0]);
+		ASSERT_TRUE(s.net.until([&] {
+			return http_server_connections(s.server) == 1;
+		}));
+		s.net.run_ms(20);
+		raw.send(part[1]);
+		usleep(200000);
+		EXPECT_TRUE(s.net.until([&] { return !raw.received.empty(); }));
+		EXPECT_EQ((std::vector<int>{ 200 }), statuses(raw.received))
+			<< part[0];
+	}
+}
+
 // A caller that does not read its response must not occupy memory forever.
 TEST(HttpServer, UnreadResponseTimesOut)
 {
