loop: Do not read a connection that was closed

loop_conn_close() shut the socket down, which made it readable, and libwebsockets read what was left in it before it closed the socket. A request that crossed the close was read and discarded, and the caller saw an ordinary close: it could not know that the request had not been run, and a request that is not idempotent was lost. This is more frequent on a slow machine, where the next iteration of the loop comes late.

Reading is now stopped, and the pending write event closes the socket. The unread bytes make the system reset the connection, which tells the caller that it can repeat the request.

--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -92,15 +92,18 @@
 /*
  * Lets libwebsockets close the socket in the next loop iteration, which is safe
  * also within a callback of that socket. The shutdown makes the socket
- * readable, so that it is closed even if the timeout of libwebsockets does not
- * wake the loop.
+ * writable, so that it is closed even if the timeout of libwebsockets does not
+ * wake the loop. Nothing is read any more: bytes that are discarded would be
+ * acknowledged, while closing a socket with unread bytes resets the connection,
+ * which tells the other end that they were not handled.
  */
 static void kill_wsi(struct loop_conn *conn)
 {
 	lws_set_opaque_user_data(conn->wsi, NULL);
-	if (conn->paused)
-		lws_rx_flow_control(conn->wsi, 1);
+	if (!conn->paused)
+		lws_rx_flow_control(conn->wsi, 0);
 	shutdown(conn->fd, SHUT_RDWR);
+	lws_callback_on_writable(conn->wsi);
 	lws_set_timeout(conn->wsi, PENDING_TIMEOUT_USER_REASON_BASE,
 			LWS_TO_KILL_ASYNC);
 }
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -5,14 +5,30 @@
 #include <vector>
 
 #include <csignal>
+#include <cstdlib>
+#include <cstring>
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "net_fixture.h"
 
+// Connects a socket that the loop does not know to "IPv4:port".
+static int connect_blocking(const char *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in sa = {};
+
+	sa.sin_family = AF_INET;
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sa.sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1));
+	EXPECT_EQ(0, connect(fd, (struct sockaddr *)&sa, sizeof(sa)));
+	return fd;
+}
+
 TEST(Loop, BadAddressesAreRefused)
 {
 	Net net;
@@ -391,3 +407,23 @@
 	net.reset();
 	EXPECT_FALSE(raw.closed || connecting.closed || server->last.closed);
 }
+
+// A caller may repeat a request only if the connection was closed without
+// reading it, which it learns from the reset. A closed connection must
+// therefore not be read any more.
+TEST(Loop, ClosedConnectionIsNotRead)
+{
+	Net net;
+	RawServer server(net);
+	struct pollfd poll_fd = {};
+	int fd = connect_blocking(server.address());
+
+	ASSERT_TRUE(net.until([&] { return server.accepted == 1; }));
+	ASSERT_EQ(1, send(fd, "x", 1, 0));
+	server.last.close();
+	net.run_ms(20);
+	poll_fd.fd = fd;
+	ASSERT_EQ(1, poll(&poll_fd, 1, 1000));
+	EXPECT_TRUE(poll_fd.revents & POLLERR) << "was read and closed";
+	close(fd);
+}
