http_server: Apply a raised idle timeout to connections that are idle

When the operator raised the idle timeout, connections that were already idle were still closed after the earlier time. Callers know the new time from the configuration and send requests on such connections: these crossed the close and got neither an answer nor a refusal, beside a change of the configuration more often than at other times.

The timer of an idle connection now checks the timeout that is in force when it expires. A lowered timeout does not shorten the time of connections that are already idle, as before; a test now covers that.

RaisedIdleTimeoutAppliesToIdleConnections failed before: the connection was closed after 200 ms of 1 s, and the request on it got no response.

--- a/almondward/http.h
+++ b/almondward/http.h
@@ -129,7 +129,9 @@
 void http_server_drain(struct http_server *server, bool stop_listening);
 
 /*
- * Sets the time after which an idle connection of a caller is closed.
+ * Sets the time after which an idle connection of a caller is closed; 0 means
+ * never. A connection that is already idle gets the longer one of the old and
+ * the new time, as its caller may rely on either.
  */
 void http_server_set_idle_timeout(struct http_server *server,
 				  uint32_t idle_timeout_ms);
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -45,6 +45,7 @@
 	struct http_exchange *exchange;
 	struct buf pipelined; /* received after the current request */
 	size_t queued_bytes; /* of the response, at the last progress check */
+	uint64_t idle_start_ms; /* in SERVER_IDLE */
 	bool close; /* after the response */
 	bool resume; /* the timer will process pipelined bytes */
 	bool in_process; /* process() is running; it frees dead connections */
@@ -191,15 +192,37 @@
 		loop_timer_cancel(conn->timer);
 }
 
-static void enter_idle(struct server_conn *conn)
+static uint32_t idle_timeout_ms(const struct http_server *server)
 {
-	const struct http_server *server = conn->server;
-	uint32_t idle_ms = server->settings.idle_timeout_ms;
+	uint32_t timeout_ms = server->settings.idle_timeout_ms;
+
+	if (server->draining && (!timeout_ms || timeout_ms > DRAIN_IDLE_MS))
+		return DRAIN_IDLE_MS;
+	return timeout_ms;
+}
 
+static void enter_idle(struct server_conn *conn)
+{
 	conn->state = SERVER_IDLE;
-	if (server->draining && (!idle_ms || idle_ms > DRAIN_IDLE_MS))
-		idle_ms = DRAIN_IDLE_MS;
-	set_timer(conn, idle_ms);
+	conn->idle_start_ms = clk_now_ms(loop_clock(conn->server->loop));
+	set_timer(conn, idle_timeout_ms(conn->server));
+}
+
+/*
+ * Closes an idle connection, unless its timeout was raised in the meantime.
+ */
+static void on_idle_timer(struct server_conn *conn)
+{
+	uint32_t timeout_ms = idle_timeout_ms(conn->server);
+	uint64_t idle_ms = clk_now_ms(loop_clock(conn->server->loop)) -
+			   conn->idle_start_ms;
+
+	if (!timeout_ms)
+		return;
+	if (idle_ms < timeout_ms)
+		set_timer(conn, timeout_ms - (uint32_t)idle_ms);
+	else
+		conn_close(conn);
 }
 
 /* ---- responses ---- */
@@ -597,7 +620,7 @@
 	case SERVER_HANDLING:
 		return;
 	case SERVER_IDLE:
-		conn_close(conn);
+		on_idle_timer(conn);
 		return;
 	}
 }
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -583,6 +583,43 @@
 	}
 }
 
+// Callers reuse a connection for as long as the newest timeout promises, also
+// one that became idle under a shorter timeout.
+TEST(HttpServer, RaisedIdleTimeoutAppliesToIdleConnections)
+{
+	Server s(200);
+	RawConn raw(s.net, s.address());
+
+	raw.send("GET /1" + H + "\r\n");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 1; }));
+	http_server_set_idle_timeout(s.server, 1000);
+	s.net.run_ms(600);
+	EXPECT_FALSE(raw.closed);
+	raw.send("GET /2" + H + "\r\n");
+	EXPECT_TRUE(
+		s.net.until([&] { return count(raw.received, "</2>") == 1; }));
+	http_server_set_idle_timeout(s.server, 0);
+	s.net.run_ms(1200);
+	EXPECT_FALSE(raw.closed) << "0 means no timeout";
+}
+
+// A caller may still rely on the timeout that was in force when its connection
+// became idle.
+TEST(HttpServer, LoweredIdleTimeoutSparesIdleConnections)
+{
+	Server s(600);
+	RawConn idle(s.net, s.address()), used(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 2; }));
+	http_server_set_idle_timeout(s.server, 100);
+	used.send("GET /1" + H + "\r\n");
+	s.net.run_ms(300);
+	EXPECT_TRUE(used.closed);
+	EXPECT_FALSE(idle.closed);
+	EXPECT_TRUE(s.net.until([&] { return idle.closed; }, 1000));
+}
+
 // A caller that does not read its response must not occupy memory forever.
 TEST(HttpServer, UnreadResponseTimesOut)
 {
