gateway: Keep idle connections of callers until the plan has been applied

Callers know a raised idle timeout from the acknowledgement of the change; an instance applies the plan up to 2.5 s later. In the meantime it closed connections after the earlier timeout, also while requests of callers that relied on the new one were on their way.

Idle connections are now kept for the timeout, apply_s and 1.5 s. A caller that keeps to the timeout never meets the close, and a plan that raises it finds the connections still open.

The new case raised_idle_timeout of process_cluster failed before: a connection that was idle for 2.5 s, with a timeout of 1 s that is raised afterwards, was closed (IncompleteReadError).

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -61,6 +61,8 @@
  * time and this number of times; then it is refused. */
 #define DENIED_ASK_MS 150
 #define DENIED_ASKS_MAX 8
+/* Time for a request of a caller to arrive and to be read. */
+#define IDLE_TIMEOUT_MARGIN_MS 1500
 
 struct gw_request {
 	struct gw *gw;
@@ -1721,6 +1723,19 @@
 	}
 }
 
+/*
+ * Callers may rely on a raised idle timeout as soon as the change is
+ * acknowledged, which is up to apply_ms before the plan is applied here. Until
+ * then idle connections must not be closed after the earlier timeout.
+ */
+static void set_idle_timeout(struct gw *gw, uint32_t timeout_ms)
+{
+	http_server_set_idle_timeout(
+		gw->callers, timeout_ms +
+				     gw->settings->cluster.bounds.apply_ms +
+				     IDLE_TIMEOUT_MARGIN_MS);
+}
+
 void gw_plan_changed(struct gw *gw)
 {
 	const Aw__PlanLimits *limits = plan_message(gw->plan)->limits;
@@ -1731,6 +1746,5 @@
 	if (limits && limits->body_max_bytes)
 		http_server_set_body_max(gw->callers, limits->body_max_bytes);
 	if (limits && limits->idle_timeout_ms)
-		http_server_set_idle_timeout(gw->callers,
-					     limits->idle_timeout_ms);
+		set_idle_timeout(gw, limits->idle_timeout_ms);
 }
--- a/tests/process_cluster.py
+++ b/tests/process_cluster.py
@@ -65,6 +65,33 @@
     await cluster.wait("entry-0 serves", lambda: cluster.serves("entry-0"), 15)
 
 
+async def raised_idle_timeout(cluster):
+    """Callers know a raised idle timeout before an instance has the plan: a connection
+    that has been idle for a little longer than the earlier timeout is still open, and
+    the new one applies to it."""
+    limits = dict(clusterlib.CONFIG["limits"], idleTimeoutS=1)
+    answer = await cluster.put_config(dict(clusterlib.CONFIG, version=2, limits=limits), 1)
+    assert answer.status == 200, answer.body
+    await asyncio.sleep(1)
+    host, port = cluster.address("entry-0", "callers").rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+
+    async def request(number):
+        writer.write(f"GET /none/{number} HTTP/1.1\r\nHost: t.example\r\n\r\n".encode())
+        first, _, _ = await asyncio.wait_for(clusterlib.read_message(reader), 2)
+        assert " 404 " in first, first
+
+    await request(1)
+    await asyncio.sleep(2.5)
+    await request(2)
+    await asyncio.sleep(2.5)
+    answer = await cluster.put_config(dict(clusterlib.CONFIG, version=3), 2)
+    assert answer.status == 200, answer.body
+    await asyncio.sleep(4.5)
+    await request(3)
+    writer.close()
+
+
 async def replaced_control_instance(cluster):
     """A new control instance at another address replaces a lost one as a replica,
     so that the cluster survives the loss of a second one."""
@@ -159,7 +186,8 @@
     build = sys.argv[1]
     cases = [(case.__name__, lambda case=case: clusterlib.run_case(build, case))
              for case in (serves_and_reads_back, repeated_change,
-                          survives_lost_disk_and_kill_of_all, replaced_control_instance,
+                          survives_lost_disk_and_kill_of_all, raised_idle_timeout,
+                          replaced_control_instance,
                           departed_server_gets_no_requests, stop_finishes_requests,
                           faulty_responses)]
     cases.append(("slow_link", lambda: clusterlib.run_case(build, slow_link, link_mbit=4)))
