http_server: Close idle connections also if draining is started again

After SIGTERM and its 2.6 s of listening, the gateway calls http_server_drain() with each tick. Each call restarted the idle time of all idle connections, so none of them was closed before the process ended.

Only the first call starts the idle time now.

RepeatedDrainClosesIdleConnections failed before: the connection was still open after 2 s.

--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -710,6 +710,7 @@
 
 void http_server_drain(struct http_server *server, bool stop_listening)
 {
+	bool began = server->draining;
 	struct server_conn *conn;
 
 	server->draining = true;
@@ -717,6 +718,9 @@
 		loop_listener_destroy(server->listener);
 		server->listener = NULL;
 	}
+	/* Later calls must not restart the idle time of the connections. */
+	if (began)
+		return;
 	DL_FOREACH(server->conns, conn)
 	{
 		if (conn->state == SERVER_IDLE && !conn->resume)
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -716,6 +716,24 @@
 	EXPECT_TRUE(s.net.until([&] { return late.opened; }));
 }
 
+// The gateway starts the shutdown in two steps and repeats the second one with
+// each tick; idle connections must be closed all the same.
+TEST(HttpServer, RepeatedDrainClosesIdleConnections)
+{
+	Server s(60000);
+	RawConn raw(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 1; }));
+	http_server_drain(s.server, false);
+	EXPECT_TRUE(s.net.until(
+		[&] {
+			http_server_drain(s.server, true);
+			return raw.closed;
+		},
+		2000));
+}
+
 TEST(HttpServer, RefusalHasRetryAfter)
 {
 	Server s;
