http_server: Handle requests received behind another one while draining

While the server drains, each response closed its connection, and requests that had been read behind the current one were discarded: their callers got neither an answer nor a refusal.

A response now closes the connection only if nothing was received after its request; the last one of a pipeline closes it.

Both tests failed before: the second of two pipelined requests did not reach the handler, whether the handler responded later (DrainHandlesPipelined- Requests) or before it returned (DrainHandlesRequestsReadTogether, 1 response of 2).

--- a/almondward/http.h
+++ b/almondward/http.h
@@ -123,9 +123,10 @@
 
 /*
  * Starts a graceful shutdown: stops listening if stop_listening, responds with
- * Connection: close, and closes connections that have been idle for 1 s, so
- * that a request that is already on its way to the server is still handled. Can
- * be called again, to stop listening later.
+ * Connection: close unless another request was received after this one, and
+ * closes connections that have been idle for 1 s, so that a request that is
+ * already on its way to the server is still handled. Can be called again, to
+ * stop listening later.
  */
 void http_server_drain(struct http_server *server, bool stop_listening);
 
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -49,6 +49,7 @@
 	bool close; /* after the response */
 	bool resume; /* the timer will process pipelined bytes */
 	bool in_process; /* process() is running; it frees dead connections */
+	bool more_bytes; /* process() has bytes after the current request */
 	bool dead; /* unlinked, waits for process() to free it */
 	struct server_conn *prev, *next;
 };
@@ -295,13 +296,22 @@
 	set_timer(conn, conn->server->settings.body_timeout_ms);
 }
 
+/*
+ * Returns true if bytes were received after the current request.
+ */
+static bool has_pipelined(const struct server_conn *conn)
+{
+	return conn->in_process ? conn->more_bytes :
+				  conn->pipelined.len_bytes > 0;
+}
+
 void http_respond(struct http_exchange *exchange,
 		  const struct http_response *response)
 {
 	struct server_conn *conn = exchange->conn;
 	bool head_only = exchange->msg.parser.method == HTTP_HEAD;
 
-	if (conn && conn->server->draining)
+	if (conn && conn->server->draining && !has_pipelined(conn))
 		conn->close = true;
 	/* The response may refer to the request, so that is freed last. */
 	if (conn) {
@@ -502,6 +512,7 @@
 	} else if (conn->state == SERVER_BODY) {
 		set_timer(conn, conn->server->settings.body_timeout_ms);
 	}
+	conn->more_bytes = used_bytes < len_bytes;
 	if (status == MSG_DONE)
 		dispatch(conn);
 	else if (status != MSG_MORE)
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -716,6 +716,42 @@
 	EXPECT_TRUE(s.net.until([&] { return late.opened; }));
 }
 
+// A request that was read behind another one must not be dropped because the
+// server drains: only the last response closes the connection.
+TEST(HttpServer, DrainHandlesPipelinedRequests)
+{
+	Server s(3000);
+	RawConn raw(s.net, s.address());
+
+	s.defer_response = true;
+	raw.send("GET /1" + H + "\r\nGET /2" + H + "\r\n");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 1; }));
+	http_server_drain(s.server, true);
+	Server::respond(s.pending[0], "one");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 2; }, 1500));
+	EXPECT_EQ(0u, count(raw.received, "Connection: close"));
+	Server::respond(s.pending[1], "two");
+	EXPECT_TRUE(s.net.until([&] { return raw.closed; }));
+	EXPECT_EQ(1u, count(raw.received, "Connection: close"));
+	EXPECT_EQ(1u, count(raw.received, "two"));
+}
+
+// The same for a handler that responds before it returns.
+TEST(HttpServer, DrainHandlesRequestsReadTogether)
+{
+	Server s(3000);
+	RawConn raw(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 1; }));
+	http_server_drain(s.server, true);
+	raw.send("GET /1" + H + "\r\nGET /2" + H + "\r\n");
+	EXPECT_TRUE(s.net.until([&] { return raw.closed; }));
+	EXPECT_EQ(2u, s.requests.size());
+	EXPECT_EQ(2u, count(raw.received, "HTTP/1.1 200"));
+	EXPECT_EQ(1u, count(raw.received, "Connection: close"));
+}
+
 // The gateway starts the shutdown in two steps and repeats the second one with
 // each tick; idle connections must be closed all the same.
 TEST(HttpServer, RepeatedDrainClosesIdleConnections)
