http_client: Read a large response that was received in time

The loop reads up to 32 KB of a socket in each iteration. After a stall, a larger response that was complete in the socket at the time limit was discarded after its first part, and the caller of a request that is not idempotent got 504 although the response was there.

LargeResponseReceivedDuringStallIsInTime (200 KB) failed before: expected HTTP_OK, got 4 (HTTP_TIMEOUT).

--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -184,6 +184,12 @@
  */
 uint64_t loop_conn_sent_bytes(const struct loop_conn *conn);
 
+/*
+ * Returns true if received data, or the end of it, has not been read yet. A
+ * data callback gets a part of what was received.
+ */
+bool loop_conn_has_input(const struct loop_conn *conn);
+
 /*
  * Stops or resumes reading.
  */
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -457,6 +458,13 @@
 	lws_rx_flow_control(conn->wsi, !paused);
 }
 
+bool loop_conn_has_input(const struct loop_conn *conn)
+{
+	struct pollfd pollfd = { .fd = conn->fd, .events = POLLIN };
+
+	return !conn->dead && conn->wsi && poll(&pollfd, 1, 0) > 0;
+}
+
 const char *loop_conn_peer(const struct loop_conn *conn)
 {
 	return conn->peer;
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -656,3 +656,21 @@
 	EXPECT_EQ(HTTP_OK, c.result);
 	EXPECT_EQ("abc", c.response_body);
 }
+
+// The socket is read in parts, and a large response that is complete in it
+// before the time limit takes several iterations of the loop.
+TEST(HttpClient, LargeResponseReceivedDuringStallIsInTime)
+{
+	Client c;
+	std::string body(200000, 'x');
+
+	c.call.response_max_bytes = body.size();
+	c.call.timeout_ms = 100;
+	c.start_and_wait();
+	c.server.last.send(OK + "Content-Length: 200000\r\n\r\n" + body);
+	EXPECT_EQ(0u, loop_conn_queued_bytes(c.server.last.conn));
+	usleep(200000);
+	ASSERT_TRUE(c.finish());
+	EXPECT_EQ(HTTP_OK, c.result);
+	EXPECT_EQ(body.size(), c.response_body.size());
+}
