loop: Let large bodies take turns on a slow link

Each connection with a large body had a timer of its own and took the next part when the timer happened to fire first. With many large bodies some got no part for a long time, and the HTTP server closed them in the middle of the response, as if their callers did not read.

The connections that wait for the link now form a queue, and the one that has waited longest sends the next part.

--- a/almondward/loop.c
+++ b/almondward/loop.c
@@ -66,6 +66,7 @@
 	}
 	/* A write to a closed connection must not terminate the process. */
 	signal(SIGPIPE, SIG_IGN);
+	loop_timer_init(&loop->pace_timer, loop, loop_conn_on_pace_timer, loop);
 	return loop;
 
 fail:
@@ -83,6 +84,7 @@
 	while (loop->listeners)
 		loop_listener_destroy(loop->listeners);
 	loop_conn_free_all(loop);
+	loop_timer_release(&loop->pace_timer);
 	if (loop->watches_stop_signals) {
 		ev_signal_stop(loop->ev, &loop->sigterm);
 		ev_signal_stop(loop->ev, &loop->sigint);
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -51,8 +51,8 @@
 	uint64_t sent_bytes;
 	size_t linger_queued_bytes; /* at the last check for progress */
 	struct loop_timer timer; /* connect timeout, later limit for closing */
-	struct loop_timer pace_timer;
-	bool waits_for_pace; /* a large body waits for pace_timer */
+	bool waits_for_pace; /* is in loop->pace_waiting */
+	bool has_pace_turn; /* has waited longest */
 	uint32_t callback_depth; /* running callbacks; freed only at 0 */
 	bool dead; /* closed, to be freed */
 	bool write_failed;
@@ -61,12 +61,21 @@
 	bool notify_drained; /* call ops->drained when the queue is empty */
 	char peer[ADDRESS_BYTES_MAX];
 	struct loop_conn *prev, *next;
+	struct loop_conn *pace_prev, *pace_next;
 };
 
+static void stop_pace_wait(struct loop_conn *conn)
+{
+	if (conn->waits_for_pace)
+		DL_DELETE2(conn->loop->pace_waiting, conn, pace_prev,
+			   pace_next);
+	conn->waits_for_pace = false;
+}
+
 static void conn_free(struct loop_conn *conn)
 {
 	loop_timer_release(&conn->timer);
-	loop_timer_release(&conn->pace_timer);
+	stop_pace_wait(conn);
 	buf_release(&conn->out);
 	free(conn);
 }
@@ -114,6 +123,7 @@
 	if (conn->dead)
 		return;
 	conn->dead = true;
+	stop_pace_wait(conn);
 	if (conn->wsi) {
 		kill_wsi(conn);
 		DL_DELETE(conn->loop->conns, conn);
@@ -129,6 +139,7 @@
 {
 	DL_DELETE(conn->loop->conns, conn);
 	conn->wsi = NULL;
+	stop_pace_wait(conn);
 	loop_timer_cancel(&conn->timer);
 	enter_callback(conn);
 	if (conn->state == CONN_CONNECTING)
@@ -163,15 +174,6 @@
 	on_socket_closed(conn, LOOP_CLOSE_ERROR);
 }
 
-static void on_pace_timer(void *arg)
-{
-	struct loop_conn *conn = arg;
-
-	conn->waits_for_pace = false;
-	if (!conn->dead && conn->wsi)
-		lws_callback_on_writable(conn->wsi);
-}
-
 static int set_options(int fd)
 {
 	unsigned int timeout_ms = USER_TIMEOUT_MS;
@@ -200,7 +202,6 @@
 	conn->state = connecting ? CONN_CONNECTING : CONN_OPEN;
 	loop_format_address(peer, conn->peer, sizeof(conn->peer));
 	loop_timer_init(&conn->timer, loop, on_conn_timer, conn);
-	loop_timer_init(&conn->pace_timer, loop, on_pace_timer, conn);
 	desc.vh = lws_get_vhost_by_name(loop->lws, "default");
 	desc.fd.sockfd = fd;
 	desc.vh_prot_name = "almondward";
@@ -290,6 +291,7 @@
 static void write_failed(struct loop_conn *conn)
 {
 	conn->write_failed = true;
+	stop_pace_wait(conn);
 	buf_release(&conn->out);
 	conn->out_offset_bytes = 0;
 	loop_timer_set(&conn->timer, LINGER_MS);
@@ -321,26 +323,40 @@
 	return 0;
 }
 
+static void wait_for_pace(struct loop_conn *conn)
+{
+	struct loop *loop = conn->loop;
+
+	if (!loop->pace_waiting)
+		loop_timer_set(
+			&loop->pace_timer,
+			pace_wait_ms(&loop->pace, clk_now_ms(loop->clk)));
+	conn->waits_for_pace = true;
+	DL_APPEND2(loop->pace_waiting, conn, pace_prev, pace_next);
+}
+
 /*
  * Returns how many of len_bytes unsent bytes may be sent now. For a large body
- * this can be 0; pace_timer then continues when the next part may be sent.
+ * this can be 0; it then waits until the next part may be sent, behind those
+ * that wait already.
  */
 static size_t sendable_bytes(struct loop_conn *conn, size_t len_bytes)
 {
-	struct pace *pace = &conn->loop->pace;
-	size_t part_bytes;
-	uint64_t now_ms;
+	struct loop *loop = conn->loop;
+	size_t part_bytes = 0;
 
 	if (len_bytes > SEND_BYTES_PER_TURN)
 		len_bytes = SEND_BYTES_PER_TURN;
-	if (!pace->bytes_per_ms || len_bytes <= PACE_LARGE_BYTES)
+	if (!loop->pace.bytes_per_ms || len_bytes <= PACE_LARGE_BYTES)
 		return len_bytes;
-	now_ms = clk_now_ms(conn->loop->clk);
-	part_bytes = pace_allowed_bytes(pace, now_ms);
+	if (conn->waits_for_pace)
+		return 0;
+	if (conn->has_pace_turn || !loop->pace_waiting)
+		part_bytes =
+			pace_allowed_bytes(&loop->pace, clk_now_ms(loop->clk));
 	if (part_bytes)
 		return len_bytes < part_bytes ? len_bytes : part_bytes;
-	conn->waits_for_pace = true;
-	loop_timer_set(&conn->pace_timer, pace_wait_ms(pace, now_ms));
+	wait_for_pace(conn);
 	return 0;
 }
 
@@ -424,6 +440,24 @@
 		buf_release(&conn->out);
 }
 
+void loop_conn_on_pace_timer(void *arg)
+{
+	struct loop *loop = arg;
+	struct loop_conn *conn = loop->pace_waiting;
+	uint32_t wait_ms = pace_wait_ms(&loop->pace, clk_now_ms(loop->clk));
+
+	if (conn && !wait_ms) {
+		stop_pace_wait(conn);
+		conn->has_pace_turn = true;
+		send_queue(conn);
+		conn->has_pace_turn = false;
+		lws_callback_on_writable(conn->wsi);
+		wait_ms = pace_wait_ms(&loop->pace, clk_now_ms(loop->clk));
+	}
+	if (loop->pace_waiting)
+		loop_timer_set(&loop->pace_timer, wait_ms);
+}
+
 static void shut_down_writing(struct loop_conn *conn)
 {
 	conn->write_shut = true;
--- a/almondward/loop_private.h
+++ b/almondward/loop_private.h
@@ -13,6 +13,15 @@
 
 #define LOOP_LOG_COMPONENT "loop"
 
+struct loop_timer {
+	ev_timer watcher;
+	struct loop *loop;
+	void (*fn)(void *arg);
+	void *arg;
+	int64_t due_us; /* 0: not set */
+	int64_t armed_us; /* due time of the watcher, 0: not started */
+};
+
 struct loop {
 	struct clk *clk;
 	struct ev_loop *ev;
@@ -20,6 +29,8 @@
 	struct loop_conn *conns;
 	struct loop_listener *listeners;
 	struct pace pace; /* send rate of large bodies */
+	struct loop_conn *pace_waiting; /* longest waiting first */
+	struct loop_timer pace_timer;
 	ev_signal sigterm;
 	ev_signal sigint;
 	void (*stop_fn)(void *arg);
@@ -33,15 +44,6 @@
 	bool destroying;
 };
 
-struct loop_timer {
-	ev_timer watcher;
-	struct loop *loop;
-	void (*fn)(void *arg);
-	void *arg;
-	int64_t due_us; /* 0: not set */
-	int64_t armed_us; /* due time of the watcher, 0: not started */
-};
-
 union loop_sockaddr {
 	struct sockaddr any;
 	struct sockaddr_in in;
@@ -77,6 +79,11 @@
 void loop_conn_accept(struct loop_conn *conn,
 		      void (*fn)(void *arg, struct loop_conn *conn), void *arg);
 
+/*
+ * Sends a part of the large body that has waited longest for the pace.
+ */
+void loop_conn_on_pace_timer(void *arg);
+
 /*
  * Frees all connections without calling callbacks, for loop_destroy().
  */
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -1,4 +1,5 @@
 // Tests the HTTP server: framing, refusals, pipelining, shutdown.
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -635,6 +636,31 @@
 		[&] { return !http_server_connections(s.server); }));
 }
 
+// Large responses that share a slow link take turns: one that gets no turn for
+// a long time would be cut off as if its caller did not read it.
+TEST(HttpServer, ResponsesTakeTurnsOnSlowLink)
+{
+	const size_t body_bytes = 100000;
+	Server s(1000);
+	std::vector<std::unique_ptr<RawConn>> raws;
+	size_t nr_complete = 0;
+
+	loop_set_link_rate(s.net.loop, 4000);
+	s.defer_response = true;
+	for (int i = 0; i < 20; i++) {
+		raws.push_back(std::make_unique<RawConn>(s.net, s.address()));
+		raws.back()->send("GET /" + H + "\r\n");
+	}
+	ASSERT_TRUE(s.net.until([&] { return s.pending.size() == 20; }));
+	for (auto exchange : s.pending)
+		Server::respond(exchange, std::string(body_bytes, 'x'));
+	// The link takes 4.3 s for 2 MB.
+	s.net.run_ms(6000);
+	for (auto &raw : raws)
+		nr_complete += raw->received.size() > body_bytes;
+	EXPECT_EQ(raws.size(), nr_complete);
+}
+
 // All request bodies share one memory limit. The refusal has a Retry-After, and
 // the memory of a request whose connection closed is returned.
 TEST(HttpServer, BodyMemoryIsShared)
