--- a/almondward/http.h
+++ b/almondward/http.h
@@ -123,13 +123,17 @@
 
 /*
  * Starts a graceful shutdown: stops listening if stop_listening, responds with
- * Connection: close, and closes connections that have been idle for 1 s, so
- * that a request that is already on its way to the server is still handled.
+ * Connection: close unless another request was received after this one, and
+ * closes connections that have been idle for 1 s, so that a request that is
+ * already on its way to the server is still handled. Can be called again, to
+ * stop listening later.
  */
 void http_server_drain(struct http_server *server, bool stop_listening);
 
 /*
- * Sets the time after which an idle connection of a caller is closed.
+ * Sets the time after which an idle connection of a caller is closed; 0 means
+ * never. A connection that is already idle gets the longer one of the old and
+ * the new time, as its caller may rely on either.
  */
 void http_server_set_idle_timeout(struct http_server *server,
 				  uint32_t idle_timeout_ms);
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -45,9 +45,11 @@
 	struct http_exchange *exchange;
 	struct buf pipelined; /* received after the current request */
 	size_t queued_bytes; /* of the response, at the last progress check */
+	uint64_t idle_start_ms; /* in SERVER_IDLE */
 	bool close; /* after the response */
 	bool resume; /* the timer will process pipelined bytes */
 	bool in_process; /* process() is running; it frees dead connections */
+	bool more_bytes; /* process() has bytes after the current request */
 	bool dead; /* unlinked, waits for process() to free it */
 	struct server_conn *prev, *next;
 };
@@ -191,15 +193,37 @@
 		loop_timer_cancel(conn->timer);
 }
 
-static void enter_idle(struct server_conn *conn)
+static uint32_t idle_timeout_ms(const struct http_server *server)
 {
-	const struct http_server *server = conn->server;
-	uint32_t idle_ms = server->settings.idle_timeout_ms;
+	uint32_t timeout_ms = server->settings.idle_timeout_ms;
+
+	if (server->draining && (!timeout_ms || timeout_ms > DRAIN_IDLE_MS))
+		return DRAIN_IDLE_MS;
+	return timeout_ms;
+}
 
+static void enter_idle(struct server_conn *conn)
+{
 	conn->state = SERVER_IDLE;
-	if (server->draining && (!idle_ms || idle_ms > DRAIN_IDLE_MS))
-		idle_ms = DRAIN_IDLE_MS;
-	set_timer(conn, idle_ms);
+	conn->idle_start_ms = clk_now_ms(loop_clock(conn->server->loop));
+	set_timer(conn, idle_timeout_ms(conn->server));
+}
+
+/*
+ * Closes an idle connection, unless its timeout was raised in the meantime.
+ */
+static void on_idle_timer(struct server_conn *conn)
+{
+	uint32_t timeout_ms = idle_timeout_ms(conn->server);
+	uint64_t idle_ms = clk_now_ms(loop_clock(conn->server->loop)) -
+			   conn->idle_start_ms;
+
+	if (!timeout_ms)
+		return;
+	if (idle_ms < timeout_ms)
+		set_timer(conn, timeout_ms - (uint32_t)idle_ms);
+	else
+		conn_close(conn);
 }
 
 /* ---- responses ---- */
@@ -272,13 +296,22 @@
 	set_timer(conn, conn->server->settings.body_timeout_ms);
 }
 
+/*
+ * Returns true if bytes were received after the current request.
+ */
+static bool has_pipelined(const struct server_conn *conn)
+{
+	return conn->in_process ? conn->more_bytes :
+				  conn->pipelined.len_bytes > 0;
+}
+
 void http_respond(struct http_exchange *exchange,
 		  const struct http_response *response)
 {
 	struct server_conn *conn = exchange->conn;
 	bool head_only = exchange->msg.parser.method == HTTP_HEAD;
 
-	if (conn && conn->server->draining)
+	if (conn && conn->server->draining && !has_pipelined(conn))
 		conn->close = true;
 	/* The response may refer to the request, so that is freed last. */
 	if (conn) {
@@ -479,6 +512,7 @@
 	} else if (conn->state == SERVER_BODY) {
 		set_timer(conn, conn->server->settings.body_timeout_ms);
 	}
+	conn->more_bytes = used_bytes < len_bytes;
 	if (status == MSG_DONE)
 		dispatch(conn);
 	else if (status != MSG_MORE)
@@ -597,7 +631,7 @@
 	case SERVER_HANDLING:
 		return;
 	case SERVER_IDLE:
-		conn_close(conn);
+		on_idle_timer(conn);
 		return;
 	}
 }
@@ -687,6 +721,7 @@
 
 void http_server_drain(struct http_server *server, bool stop_listening)
 {
+	bool began = server->draining;
 	struct server_conn *conn;
 
 	server->draining = true;
@@ -694,6 +729,9 @@
 		loop_listener_destroy(server->listener);
 		server->listener = NULL;
 	}
+	/* Later calls must not restart the idle time of the connections. */
+	if (began)
+		return;
 	DL_FOREACH(server->conns, conn)
 	{
 		if (conn->state == SERVER_IDLE && !conn->resume)
--- a/almondward/loop.c
+++ b/almondward/loop.c
@@ -13,6 +13,8 @@
 
 /* A data callback gets at most this much at once. */
 #define RECEIVE_BYTES_MAX 32768
+/* Watchers of sockets have libev's default priority 0. */
+#define TIMER_PRIORITY (-1)
 
 static const struct lws_protocols protocols[] = {
 	{ .name = "almondward", .callback = loop_lws_callback },
@@ -66,6 +68,7 @@
 	}
 	/* A write to a closed connection must not terminate the process. */
 	signal(SIGPIPE, SIG_IGN);
+	loop_timer_init(&loop->pace_timer, loop, loop_conn_on_pace_timer, loop);
 	return loop;
 
 fail:
@@ -83,6 +86,7 @@
 	while (loop->listeners)
 		loop_listener_destroy(loop->listeners);
 	loop_conn_free_all(loop);
+	loop_timer_release(&loop->pace_timer);
 	if (loop->watches_stop_signals) {
 		ev_signal_stop(loop->ev, &loop->sigterm);
 		ev_signal_stop(loop->ev, &loop->sigint);
@@ -212,6 +216,11 @@
 	timer->fn = fn;
 	timer->arg = arg;
 	ev_timer_init(&timer->watcher, on_timer, 0, 0);
+	/*
+	 * Below that of the sockets: after a stall, data that arrived in time
+	 * is read before the timeout that waits for it is reported.
+	 */
+	ev_set_priority(&timer->watcher, TIMER_PRIORITY);
 	timer->watcher.data = timer;
 }
 
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -77,6 +77,7 @@
 
 /*
  * Calls the timer's function once after delay_ms. Replaces an earlier setting.
+ * Sockets that became ready before the loop noticed the time are handled first.
  */
 void loop_timer_set(struct loop_timer *timer, uint64_t delay_ms);
 void loop_timer_cancel(struct loop_timer *timer);
@@ -183,6 +184,12 @@
  */
 uint64_t loop_conn_sent_bytes(const struct loop_conn *conn);
 
+/*
+ * Returns true if received data, or the end of it, has not been read yet. A
+ * data callback gets a part of what was received.
+ */
+bool loop_conn_has_input(const struct loop_conn *conn);
+
 /*
  * Stops or resumes reading.
  */
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -1,7 +1,10 @@
 // Tests the HTTP server: framing, refusals, pipelining, shutdown.
+#include <memory>
 #include <string>
 #include <vector>
 
+#include <unistd.h>
+
 #include "http.h"
 #include "net_fixture.h"
 
@@ -538,6 +541,86 @@
 	}
 }
 
+// Stalls are simulated by not running the loop. A request that is complete in
+// the socket when the idle timeout has passed must not be dropped.
+TEST(HttpServer, RequestReceivedDuringStallOutlastsIdleTimeout)
+{
+	Server s(100);
+	RawConn raw(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 1; }));
+	raw.send("GET /x" + H + "\r\n");
+	usleep(200000);
+	EXPECT_TRUE(s.net.until([&] {
+		return count(raw.received, "</x>") == 1;
+	})) << "closed: "
+	    << raw.closed << " received: " << raw.received;
+}
+
+// The rest of a request that arrived before its time limit must not be taken
+// for late because the process reads it late.
+TEST(HttpServer, RestReceivedDuringStallIsInTime)
+{
+	const std::string parts[][2] = {
+		{ "GET /x", H + "\r\n" },
+		{ "POST /x" + H + "Content-Length: 4\r\n\r\nab", "cd" },
+	};
+
+	for (const auto &part : parts) {
+		Server s(100);
+		RawConn raw(s.net, s.address());
+
+		raw.send(part[0]);
+		ASSERT_TRUE(s.net.until([&] {
+			return http_server_connections(s.server) == 1;
+		}));
+		s.net.run_ms(20);
+		raw.send(part[1]);
+		usleep(200000);
+		EXPECT_TRUE(s.net.until([&] { return !raw.received.empty(); }));
+		EXPECT_EQ((std::vector<int>{ 200 }), statuses(raw.received))
+			<< part[0];
+	}
+}
+
+// Callers reuse a connection for as long as the newest timeout promises, also
+// one that became idle under a shorter timeout.
+TEST(HttpServer, RaisedIdleTimeoutAppliesToIdleConnections)
+{
+	Server s(200);
+	RawConn raw(s.net, s.address());
+
+	raw.send("GET /1" + H + "\r\n");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 1; }));
+	http_server_set_idle_timeout(s.server, 1000);
+	s.net.run_ms(600);
+	EXPECT_FALSE(raw.closed);
+	raw.send("GET /2" + H + "\r\n");
+	EXPECT_TRUE(
+		s.net.until([&] { return count(raw.received, "</2>") == 1; }));
+	http_server_set_idle_timeout(s.server, 0);
+	s.net.run_ms(1200);
+	EXPECT_FALSE(raw.closed) << "0 means no timeout";
+}
+
+// A caller may still rely on the timeout that was in force when its connection
+// became idle.
+TEST(HttpServer, LoweredIdleTimeoutSparesIdleConnections)
+{
+	Server s(600);
+	RawConn idle(s.net, s.address()), used(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 2; }));
+	http_server_set_idle_timeout(s.server, 100);
+	used.send("GET /1" + H + "\r\n");
+	s.net.run_ms(300);
+	EXPECT_TRUE(used.closed);
+	EXPECT_FALSE(idle.closed);
+	EXPECT_TRUE(s.net.until([&] { return idle.closed; }, 1000));
+}
+
 // A caller that does not read its response must not occupy memory forever.
 TEST(HttpServer, UnreadResponseTimesOut)
 {
@@ -553,6 +636,31 @@
 		[&] { return !http_server_connections(s.server); }));
 }
 
+// Large responses that share a slow link take turns: one that gets no turn for
+// a long time would be cut off as if its caller did not read it.
+TEST(HttpServer, ResponsesTakeTurnsOnSlowLink)
+{
+	const size_t body_bytes = 100000;
+	Server s(1000);
+	std::vector<std::unique_ptr<RawConn>> raws;
+	size_t nr_complete = 0;
+
+	loop_set_link_rate(s.net.loop, 4000);
+	s.defer_response = true;
+	for (int i = 0; i < 20; i++) {
+		raws.push_back(std::make_unique<RawConn>(s.net, s.address()));
+		raws.back()->send("GET /" + H + "\r\n");
+	}
+	ASSERT_TRUE(s.net.until([&] { return s.pending.size() == 20; }));
+	for (auto exchange : s.pending)
+		Server::respond(exchange, std::string(body_bytes, 'x'));
+	// The link takes 4.3 s for 2 MB.
+	s.net.run_ms(6000);
+	for (auto &raw : raws)
+		nr_complete += raw->received.size() > body_bytes;
+	EXPECT_EQ(raws.size(), nr_complete);
+}
+
 // All request bodies share one memory limit. The refusal has a Retry-After, and
 // the memory of a request whose connection closed is returned.
 TEST(HttpServer, BodyMemoryIsShared)
@@ -634,6 +742,60 @@
 	EXPECT_TRUE(s.net.until([&] { return late.opened; }));
 }
 
+// A request that was read behind another one must not be dropped because the
+// server drains: only the last response closes the connection.
+TEST(HttpServer, DrainHandlesPipelinedRequests)
+{
+	Server s(3000);
+	RawConn raw(s.net, s.address());
+
+	s.defer_response = true;
+	raw.send("GET /1" + H + "\r\nGET /2" + H + "\r\n");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 1; }));
+	http_server_drain(s.server, true);
+	Server::respond(s.pending[0], "one");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 2; }, 1500));
+	EXPECT_EQ(0u, count(raw.received, "Connection: close"));
+	Server::respond(s.pending[1], "two");
+	EXPECT_TRUE(s.net.until([&] { return raw.closed; }));
+	EXPECT_EQ(1u, count(raw.received, "Connection: close"));
+	EXPECT_EQ(1u, count(raw.received, "two"));
+}
+
+// The same for a handler that responds before it returns.
+TEST(HttpServer, DrainHandlesRequestsReadTogether)
+{
+	Server s(3000);
+	RawConn raw(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 1; }));
+	http_server_drain(s.server, true);
+	raw.send("GET /1" + H + "\r\nGET /2" + H + "\r\n");
+	EXPECT_TRUE(s.net.until([&] { return raw.closed; }));
+	EXPECT_EQ(2u, s.requests.size());
+	EXPECT_EQ(2u, count(raw.received, "HTTP/1.1 200"));
+	EXPECT_EQ(1u, count(raw.received, "Connection: close"));
+}
+
+// The gateway starts the shutdown in two steps and repeats the second one with
+// each tick; idle connections must be closed all the same.
+TEST(HttpServer, RepeatedDrainClosesIdleConnections)
+{
+	Server s(60000);
+	RawConn raw(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 1; }));
+	http_server_drain(s.server, false);
+	EXPECT_TRUE(s.net.until(
+		[&] {
+			http_server_drain(s.server, true);
+			return raw.closed;
+		},
+		2000));
+}
+
 TEST(HttpServer, RefusalHasRetryAfter)
 {
 	Server s;
