--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -141,6 +141,7 @@
     """
     def __init__(self, cluster, name, zone, ip, port):
         self.cluster, self.name, self.zone = cluster, name, zone
+        self.service = "desk"
         self.address = f"{ip}:{port}"
         self.ip, self.port = ip, port
         self.born = int(time.time() * 1000)
@@ -222,7 +223,7 @@
     def heartbeat_body(self):
         self.sequence += 1
         return json.dumps({
-            "service": "desk", "address": self.address, "zone": self.zone, "version": "v1",
+            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
             "concurrency": 8, "state": self.state,
             "coldRemainingS": max(0, round(self.cold_until - time.monotonic(), 3)),
             "sequence": self.sequence, "born": self.born}).encode()
@@ -413,6 +414,7 @@
         self.broken = []          # violations of guarantees, one text each
         self.ended = []           # (time, server name) of each crash by a request
         self.is_lethal = lambda target, body: "lethal" in target or b"lethal" in body
+        self.customers = {"kim"}  # whose requests servers may get
         self.nr_servers = nr_servers
         self.link_mbit = link_mbit  # bandwidth of each entry instance's link, 0: unknown
 
@@ -484,9 +486,10 @@
                 return answer
         return None
 
-    async def patch(self, base, version, upsert, address=None):
+    async def patch(self, base, version, upsert, address=None, remove=None):
         """Changes the plan of version `base` to `version`, at one instance or at any."""
-        body = json.dumps({"version": version, "upsert": upsert}).encode()
+        change = {"version": version, "upsert": upsert}
+        body = json.dumps({**change, "remove": remove} if remove else change).encode()
         for target in [address] if address else self.control_order():
             answer = await call(target, "PATCH", "/api/config", {"If-Match": base}, body, 1.5)
             if answer and answer.status < 500:
@@ -533,7 +536,7 @@
         runs.append(server.name)
         if "x-key" in headers:
             self.broken.append(f"{request_id}: the caller's key was forwarded to {server.name}")
-        if headers.get("x-tenant-id") != "kim":
+        if headers.get("x-tenant-id") not in self.customers:
             self.broken.append(f"{request_id}: wrong customer {headers.get('x-tenant-id')}")
         if method != "GET" and len(runs) > 1:
             self.broken.append(f"{request_id}: ran more than once, on {runs}")
