gateway: Log when the event loop was late

A request that ended without an answer leaves no line of its own. Whether its instance did not read it in time, because the process had no processor or one callback took long, could not be told from the log: request lines give only the time from the moment at which the head was read.

The tick of 20 ms notices it: one that is 100 ms late or later writes a line `event=loop outcome=late` with the delay, the requests in progress and the version of the plan, and counts in `late_ticks`.

process_lost.py late_event_loop_is_logged fails without the line.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -10,6 +10,9 @@
 #define TICK_MS 20
 /* Interval of work that goes through all connections or servers. */
 #define SLOW_TICK_MS 200
+/* A tick that is late by this time is logged: what arrived meanwhile was not
+ * read, and callers count on being heard within a few hundred milliseconds. */
+#define LATE_TICK_MS 100
 #define BODY_MAX_BYTES ((size_t)64 << 20)
 /* Bodies are buffered whole in a third of the memory limit; the rest is for
  * responses and connections. */
@@ -127,6 +130,23 @@
 		loop_stop(gw->loop);
 }
 
+/*
+ * The process did not get the processor, or one callback took long.
+ */
+static void log_late_tick(struct gw *gw, uint64_t now_ms)
+{
+	uint64_t due_ms = gw->tick_due_ms;
+
+	gw->tick_due_ms = now_ms + TICK_MS;
+	if (!due_ms || now_ms < due_ms + LATE_TICK_MS)
+		return;
+	gw_count(gw, "late_ticks", "");
+	event_log(EVENT_LOOP,
+		  "outcome=late late_ms=%llu requests=%zu plan=%llu",
+		  (unsigned long long)(now_ms - due_ms), gw->nr_requests,
+		  (unsigned long long)plan_version(gw->plan));
+}
+
 static void tick(void *arg)
 {
 	struct gw *gw = arg;
@@ -135,6 +155,7 @@
 	if (gw->failed)
 		return;
 	loop_timer_set(gw->tick_timer, TICK_MS);
+	log_late_tick(gw, now_ms);
 	gw_link_tick(gw);
 	gw_request_tick(gw);
 	gossip_tick(gw->gossip);
--- a/tests/process_lost.py
+++ b/tests/process_lost.py
@@ -495,6 +495,23 @@
     await test.run(name_limits, callers=32)
 
 
+async def late_event_loop_is_logged(test):
+    """Without the log line, a request that was not read in time cannot be told from
+    one that was lost."""
+    async def late_times():
+        await asyncio.sleep(0.3)
+        return [int(line.split("late_ms=")[1].split()[0])
+                for line in test.cluster.logs()["entry-0"].splitlines()
+                if "event=loop outcome=late" in line]
+
+    before = len(await late_times())
+    test.cluster.signal("entry-0", signal.SIGSTOP)
+    await asyncio.sleep(0.4)
+    test.cluster.signal("entry-0", signal.SIGCONT)
+    late = (await late_times())[before:]
+    assert any(300 <= at <= 2000 for at in late), late
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("build")
@@ -513,6 +530,7 @@
         changes_while_coordinators_end: {"nr_entries": 5},
         changes_while_the_leader_stands_still: {},
         changes_on_slow_links: {"link_mbit": 30},
+        late_event_loop_is_logged: {"nr_servers": 2},
     }
 
     def run(case, options):
