tests: Requests that wait while the idle timeout of their connection expires

Callers of an instance that gets no processor for a moment, as while it applies a change on a part of a core, send requests on connections whose idle timeout expires before the instance runs again. It closes them without having read the requests.

--- a/tests/process_lost.py
+++ b/tests/process_lost.py
@@ -204,6 +204,10 @@
             self.reader = self.writer = None
             return False
 
+    def is_open(self):
+        """One that was closed before a request was sent is not used for it."""
+        return self.writer and not self.writer.is_closing() and not self.reader.at_eof()
+
     async def pause(self):
         """Keeps the connection idle, for as long as callers may or for a short time.
         Drops it if a lower limit came meanwhile."""
@@ -232,8 +236,7 @@
 
     async def run(self, end):
         while time.monotonic() < end:
-            # One that was closed before the request was sent is not used.
-            if not self.writer or self.writer.is_closing() or self.reader.at_eof():
+            if not self.is_open():
                 self.close()
                 if not await self.connect():
                     await asyncio.sleep(0.1)
@@ -335,21 +338,24 @@
                              self.operator.run(end), *(d(self, end) for d in disturbances))
         self.check()
 
+    def check_none_lost(self):
+        for what, texts in self.failures.items():
+            for text in texts[:10]:
+                print(f"# {what}: {text}", flush=True)
+        counts = {what: len(texts) for what, texts in self.failures.items()}
+        assert not counts, counts
+
     def check(self):
         print(f"# {sum(self.statuses.values())} answers {self.statuses}, "
               f"{self.operator.acknowledged} of {self.operator.sent} changes acknowledged, "
               f"{self.refusals} refusals, {len(self.late_refusals)} of them late", flush=True)
-        for what, texts in self.failures.items():
-            for text in texts[:10]:
-                print(f"# {what}: {text}", flush=True)
         for name, process in self.cluster.processes.items():
             assert process.poll() is None or name in self.expected_ends, f"{name} ended"
         logs = self.cluster.logs()
         reports = [name for name, text in logs.items()
                    if "Sanitizer" in text or "runtime error" in text]
         assert not reports, f"sanitizer reports of {reports}"
-        counts = {what: len(texts) for what, texts in self.failures.items()}
-        assert not counts, counts
+        self.check_none_lost()
         assert self.operator.acknowledged >= self.seconds / 2, "too few changes"
         assert sum(self.statuses.values()) >= 20 * self.seconds, "too few answers"
         assert len(self.late_refusals) <= self.refusals / 50 + 1, self.late_refusals[:5]
@@ -495,6 +501,31 @@
     await test.run(name_limits, callers=32)
 
 
+async def requests_that_wait_while_their_idle_timeout_expires(test):
+    """An instance without the processor finds requests and expired idle timeouts of
+    their connections at the same moment: the requests came in time."""
+    await test.prepare()
+    idle_s = 1.0
+    await test.operator.patch({"limits": dict(test.operator.config["limits"],
+                                              idleTimeoutS=idle_s)})
+    assert test.operator.idle_limit() == idle_s
+    await asyncio.sleep(0.7)
+    test.started = time.monotonic()
+    callers = [Caller(test, test.new_rng(), "entry-0", 0) for _ in range(20)]
+    for _ in range(3):
+        for caller in callers:
+            assert caller.is_open() or await caller.connect()
+        await asyncio.gather(*(caller.send() for caller in callers))
+        await asyncio.sleep(0.4)
+        test.cluster.signal("entry-0", signal.SIGSTOP)
+        await asyncio.sleep(0.2)
+        sending = asyncio.gather(*(caller.send() for caller in callers))
+        await asyncio.sleep(0.8)
+        test.cluster.signal("entry-0", signal.SIGCONT)
+        await sending
+        test.check_none_lost()
+
+
 async def late_event_loop_is_logged(test):
     """Without the log line, a request that was not read in time cannot be told from
     one that was lost."""
@@ -530,6 +561,7 @@
         changes_while_coordinators_end: {"nr_entries": 5},
         changes_while_the_leader_stands_still: {},
         changes_on_slow_links: {"link_mbit": 30},
+        requests_that_wait_while_their_idle_timeout_expires: {},
         late_event_loop_is_logged: {"nr_servers": 2},
     }
 
