--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -169,6 +169,20 @@
 	EXPECT_EQ(SVC_CALL_INVALID, without_id.call.kind);
 }
 
+// A read would return such a name cut, and two names could become the same.
+TEST(Platform, RefusesNulBytesInConfigurations)
+{
+	std::string text = document;
+
+	text.replace(text.find("\"k1\""), 4, "\"k1\\u0000a\"");
+	Call escaped("PUT", "/api/config", text, "0");
+	EXPECT_EQ(SVC_CALL_INVALID, escaped.call.kind);
+	text = document;
+	text.replace(text.find("\"k1\""), 4, std::string("\"k\0\"", 4));
+	Call plain("PUT", "/api/config", text, "0");
+	EXPECT_EQ(SVC_CALL_INVALID, plain.call.kind);
+}
+
 TEST(Platform, DecodesOtherCalls)
 {
 	Call leave("DELETE", "/api/instances/i-1", "{\"born\":12}");
