platform: Refuse notices of a departure that cannot be read

An operator of another system reported odd entries beside those of the upstreams. Here a DELETE with the id of a server that runs, and a body that is no JSON or names a "born" that is no start time, counted as a notice without "born": it recorded the departure of the current process, whose heartbeats were ignored from then on. Four such notices left a cluster without a server. A heartbeat with a "born" of 2^53 - 1 made the sender own its id and its address until it expired, and as "draining" for ever.

A notice with a body that is no object, or whose "born" is no whole number in range, gets 400; without a body, or without "born", it counts as before. A "born" after the year 2099 is out of range.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -169,6 +169,153 @@
 	EXPECT_EQ(SVC_CALL_INVALID, without_id.call.kind);
 }
 
+// Another writer's heartbeat may have any bytes. It must name no server, and
+// not be read as another value than the one that was written.
+TEST(Platform, RefusesOddHeartbeats)
+{
+	const std::string good =
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"concurrency\":4,\"state\":\"ready\",\"coldRemainingS\":1.5,"
+		"\"sequence\":4,\"born\":1700000000123}";
+	const char *numbers[] = { "-1",
+				  "1e400",
+				  "-1e400",
+				  "1e30",
+				  "9223372036854775808",
+				  "18446744073709551616",
+				  "1.5",
+				  "NaN",
+				  "Infinity",
+				  "0x10",
+				  "\"4\"",
+				  "[4]",
+				  "{}",
+				  "true" };
+	const char *numeric[] = { "\"concurrency\":4", "\"sequence\":4",
+				  "\"born\":1700000000123",
+				  "\"coldRemainingS\":1.5" };
+	const char *strings[] = { "7",	  "null",	   "[]",      "{}",
+				  "true", "\"s\\u0000x\"", "\"s\\q\"" };
+	const char *texts[] = { "\"service\":\"s\"",
+				"\"address\":\"10.0.0.9:80\"", "\"zone\":\"z\"",
+				"\"state\":\"ready\"" };
+	std::vector<std::string> bodies = { good.substr(0, 40),
+					    good + good,
+					    "null",
+					    "7",
+					    "[" + good + "]",
+					    "\xff\xfe",
+					    std::string(good).insert(13, 1,
+								     '\0'),
+					    good + std::string(1, '\0') };
+	auto replace = [&](const char *member, const std::string &value) {
+		std::string text = good, name = member;
+
+		name = name.substr(0, name.find(':') + 1);
+		bodies.push_back(text.replace(text.find(member), strlen(member),
+					      name + value));
+	};
+
+	for (const char *member : numeric)
+		for (const char *value : numbers)
+			if (strcmp(member, numeric[3]) != 0 ||
+			    strcmp(value, "1.5") != 0)
+				replace(member, value);
+	for (const char *member : texts)
+		for (const char *value : strings)
+			replace(member, value);
+	for (const char *value : { "0", "100001" })
+		replace(numeric[0], value);
+	for (const char *value : { "9007199254740991", "4102444800001" })
+		replace(numeric[2], value);
+	replace(numeric[3], "3601");
+	for (const char *open : { "[", "{\"a\":" })
+		for (size_t depth : { 2000, 200000 }) {
+			std::string nested;
+
+			for (size_t i = 0; i < depth; i++)
+				nested += open;
+			bodies.push_back(nested);
+			replace(numeric[0], nested);
+			bodies.push_back("{\"x\":" + nested + "," +
+					 good.substr(1));
+		}
+	for (const auto &text : bodies) {
+		Call bad("PUT", "/api/instances/i-1", text);
+
+		EXPECT_EQ(SVC_CALL_INVALID, bad.call.kind)
+			<< text.substr(0, 300);
+	}
+	// An escaped backslash before "u0000" is no NUL byte.
+	Call escaped("PUT", "/api/instances/i-1",
+		     std::string(good).replace(12, 1, "\\\\u0000"));
+	EXPECT_EQ(SVC_CALL_HEARTBEAT, escaped.call.kind);
+}
+
+// Such a notice must not remove the process that the table has under the id.
+TEST(Platform, RefusesOddNoticesOfDeparture)
+{
+	for (const char *text :
+	     { "{\"born\":\"12\"}", "{\"born\":1e400}", "{\"born\":-1}",
+	       "{\"born\":1.5}", "{\"born\":9007199254740991}", "[12]", "{",
+	       "{\"born\":[[", "\xff" }) {
+		Call leave("DELETE", "/api/instances/i-1", text);
+
+		EXPECT_EQ(SVC_CALL_INVALID, leave.call.kind) << text;
+	}
+	Call without("DELETE", "/api/instances/i-1", "{}");
+	EXPECT_EQ(SVC_CALL_LEAVE, without.call.kind);
+	EXPECT_FALSE(without.call.u.leave.has_incarnation);
+}
+
+// Numbers that do not fit their fields would become other numbers.
+TEST(Platform, RefusesOddNumbersInConfigurations)
+{
+	const char *members[] = {
+		"\"version\":7",	  "\"timeoutS\":2.5",
+		"\"targetLatencyS\":0.6", "\"priority\":2",
+		"\"weight\":90",	  "\"maxAttempts\":2",
+		"\"maxConns\":330",	  "\"coldS\":3.0",
+		"\"coldPerS\":7.4",	  "\"maxBodyBytes\":67108864",
+		"\"idleTimeoutS\":15",	  "\"ratePerS\":124",
+		"\"burst\":62.5"
+	};
+	const char *values[] = {
+		"-1",  "1e400", "-1e400", "1e30", "\"1\"",
+		"[1]", "{}",	"true",	  "NaN",  "9223372036854775808"
+	};
+	const std::string whole = document;
+	const size_t end = whole.size() - 1;
+
+	for (const char *member : members)
+		for (const char *value : values) {
+			std::string text = whole, name = member;
+
+			name = name.substr(0, name.find(':') + 1) + value;
+			text.replace(text.find(member), strlen(member), name);
+			Call put("PUT", "/api/config", text, "0");
+			EXPECT_EQ(SVC_CALL_INVALID, put.call.kind) << name;
+			EXPECT_NE('\0', *put.call.detail) << name;
+		}
+	for (const char *version : { "9007199254740992", "9007199254740993" }) {
+		std::string text = whole;
+
+		text.replace(text.find("\"version\":7"), 11,
+			     std::string("\"version\":") + version);
+		Call put("PUT", "/api/config", text, "0");
+		EXPECT_EQ(SVC_CALL_INVALID, put.call.kind) << version;
+	}
+	for (size_t depth : { 2000, 200000 }) {
+		std::string nested(depth, '[');
+
+		Call put("PUT", "/api/config",
+			 whole.substr(0, end) + ",\"x\":" + nested +
+				 std::string(depth, ']') + "}",
+			 "0");
+		EXPECT_EQ(SVC_CALL_INVALID, put.call.kind) << depth;
+	}
+}
+
 // A read would return such a name cut, and two names could become the same.
 TEST(Platform, RefusesNulBytesInConfigurations)
 {
--- /dev/null
+++ b/tests/process_entries.py
@@ -0,0 +1,148 @@
+#!/usr/bin/env python3
+"""Odd entries beside good ones, with real processes: heartbeats, departures and
+configurations of another writer, with values that no upstream or operator sends."""
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+
+import cluster as clusterlib
+
+DEPTH = 100000  # of nested lists and objects; beyond what a parser's stack holds
+NUMBERS = ("-1", "0", "1.5", "1e400", "-1e400", "1e30", "9223372036854775808",
+           "18446744073709551616", "NaN", "Infinity", '"4"', "null", "[4]", "{}")
+STRINGS = ("7", "null", "true", "[]", "{}", '""', '"\\u0000"', '"a\\nb"', '"' + "n" * 5000 + '"')
+ADDRESSES = ("127.0.0.1", ":80", "localhost:80", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536",
+             "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:80x", "127.0.0.1: 80", "127.0.0.256:80",
+             "::1:80", "[::1]:0", "[::1]", "0.0.0.0:80", "[::]:80", "127.0.0.1:80\\u0000")
+
+
+def odd_heartbeats():
+    """Returns the bodies of heartbeats of the service "desk", each of which is odd
+    in one way, so that it names no upstream."""
+    good = {"service": '"desk"', "address": '"127.0.0.1:9"', "zone": '"a1"', "version": '"v1"',
+            "concurrency": "8", "state": '"ready"', "coldRemainingS": "0", "sequence": "1",
+            "born": "1700000000000"}
+
+    def body(**changed):
+        members = {**good, **changed}
+        return ("{" + ",".join(f'"{n}":{v}' for n, v in members.items() if v is not None)
+                + "}").encode()
+
+    # 0 and null are numbers that some members may have.
+    bodies = [body(**{name: value}) for name in ("concurrency", "sequence", "born",
+                                                 "coldRemainingS")
+              for value in NUMBERS if value not in ("0", "null", "1.5") or name == "concurrency"]
+    bodies += [body(**{name: value}) for name in ("service", "address", "zone", "state")
+               for value in STRINGS]
+    bodies += [body(address=f'"{address}"') for address in ADDRESSES]
+    bodies += [body(**{name: None}) for name in ("service", "address", "zone", "state",
+                                                 "concurrency", "sequence")]
+    bodies += [body(service='"unnamed"'), body(state='"happy"'), body(concurrency="100001"),
+               body(coldRemainingS="3601"), body(born="9007199254740991")]
+    for text in ("[" * DEPTH, '{"a":' * DEPTH, "[" * DEPTH + "]" * DEPTH):
+        bodies += [text.encode(), body(concurrency=text), body(extra=text)]
+    bodies += [b"", b"null", b"[]", b"\xff\xfe\x00", body()[:60], body() + b"x",
+               body(service='"\xff\xfe"'), body().replace(b"desk", b"de\x00sk")]
+    return bodies
+
+
+class Callers:
+    """Callers that send requests one after the other, all of which must be served."""
+    def __init__(self, cluster, entry, nr=4):
+        self.cluster, self.entry = cluster, entry
+        self.statuses = {}
+        self.tasks = [asyncio.create_task(self.run()) for _ in range(nr)]
+
+    async def run(self):
+        while True:
+            number = self.cluster.rng.randrange(200)
+            if number % 2:
+                answer = await self.cluster.request(self.entry, f"/read/{number}")
+            else:
+                answer = await self.cluster.request(self.entry, f"/write/{number}", "POST", b"x")
+            status = answer and answer.status
+            self.statuses[status] = self.statuses.get(status, 0) + 1
+            await asyncio.sleep(0.01)
+
+    async def check(self):
+        for task in self.tasks:
+            task.cancel()
+        print(f"# statuses at {self.entry}: {self.statuses}", flush=True)
+        assert set(self.statuses) == {200}, self.statuses
+
+
+def check_processes(cluster):
+    for name, process in cluster.processes.items():
+        assert process.poll() is None, f"{name} exited with {process.poll()}"
+
+
+def leader_name(cluster):
+    """Returns the name of the leader, as the entry instances have found it last."""
+    found = [line for line in cluster.logs()["entry-0"].splitlines() if "outcome=found" in line]
+    address = found[-1].split("leader=")[1].split()[0]
+    ip = address.rsplit(":", 1)[0]
+    return next(name for name, (at, _, _) in cluster.instances.items() if at == ip)
+
+
+async def check_each_is_used(cluster):
+    """Checks that each server gets requests. A far one gets few unless the near ones
+    are down, so those that got one end until all have."""
+    before = {name: len(server.arrivals) for name, server in cluster.servers.items()}
+    unused = list(before)
+
+    async def another_is_used():
+        await cluster.request("entry-0", f"/read/{cluster.rng.randrange(200)}")
+        return any(len(cluster.servers[name].arrivals) > before[name] for name in unused)
+
+    while unused:
+        await cluster.wait(f"one of {unused} gets requests", another_is_used, 5)
+        for name in list(unused):
+            if len(cluster.servers[name].arrivals) > before[name]:
+                unused.remove(name)
+                cluster.servers[name].end(60)
+
+
+async def restart(cluster, name):
+    cluster.kill(name)
+    await asyncio.sleep(0.3)
+    cluster.start(name)
+
+
+async def odd_notices_remove_no_upstream(cluster):
+    """Notices of a departure, with the id of a server that runs, whose body cannot be
+    read or names a start in the far future: the server keeps getting requests, and
+    its later heartbeats still count."""
+    bodies = [b"[" * DEPTH, b"{", b"[]", b"7", b"\xff", b"\0", b'{"born":1e400}', b'{"born":"1"}',
+              b'{"born":-1}', b'{"born":1.5}', b'{"born":[]}', b'{"born":9007199254740991}']
+    server = cluster.servers["server-0"]
+    callers = Callers(cluster, "entry-0")
+    for address in cluster.control_order():
+        for body in bodies:
+            answer = await clusterlib.call(address, "DELETE", f"/api/instances/{server.name}",
+                                           None, body, 1.0)
+            assert answer and answer.status < 500, (body[:20], answer and answer.status)
+        draining = server.heartbeat_body().replace(b'"ready"', b'"draining"')
+        draining = draining.replace(str(server.born).encode(), b"9007199254740991")
+        await clusterlib.call(address, "PUT", f"/api/instances/{server.name}", None, draining, 1.0)
+    await asyncio.sleep(1)
+    before = len(server.arrivals)
+    await asyncio.sleep(3)
+    await callers.check()
+    check_processes(cluster)
+    assert len(server.arrivals) > before, "the server gets no requests any more"
+
+
+def main():
+    build = sys.argv[1]
+    os.environ.setdefault("PYTHONUNBUFFERED", "1")
+    cases = [odd_notices_remove_no_upstream]
+    chosen = sys.argv[2:]
+    clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
+                          for case in cases if not chosen or case.__name__ in chosen])
+
+
+if __name__ == "__main__":
+    main()
