control: Check heartbeats before they are forwarded with others

A control instance that is not the leader acknowledged any heartbeat that the adapter could read and queued it for the leader, without a limit on its length. Heartbeats of 100 ms are forwarded in one frame. One with a zone of 9 MB made the frame longer than a frame may be, so all of them were dropped, though acknowledged; while such heartbeats came, no server that reported to this instance stayed in the list, and callers got 503. An invalid one got 200 here and 400 from the leader.

Every control instance now checks a heartbeat first, as the leader does, and answers 400. That comes before a departure is recorded and before the start of a server is counted as the end of the one before it at the address. The leader checks those that other instances forward, which may be of another version.

--- a/almondward/control_cluster.c
+++ b/almondward/control_cluster.c
@@ -292,7 +292,9 @@
 	for (i = 0; i < heartbeats->n_servers; i++) {
 		const Aw__Server *server = heartbeats->servers[i];
 
-		if (fleet_has_departed(ctl->fleet, server->id,
+		/* From a control instance of another version. */
+		if (!topo_is_valid(server) ||
+		    fleet_has_departed(ctl->fleet, server->id,
 				       server->incarnation))
 			continue;
 		ctl_crashes_on_heartbeat(ctl, server);
--- a/almondward/control_service.c
+++ b/almondward/control_service.c
@@ -351,11 +351,20 @@
 	return 0;
 }
 
+static void refuse_heartbeat(struct ctl *ctl, struct http_exchange *exchange,
+			     const Aw__Server *server)
+{
+	char id[EVENT_TEXT_BYTES];
+
+	event_log(EVENT_HEARTBEAT, "server=%s reason=invalid",
+		  event_quote(server->id, id));
+	respond_error(ctl, exchange, 400, "heartbeat",
+		      "a field is out of range");
+}
+
 static void receive_heartbeat(struct ctl *ctl, struct http_exchange *exchange,
 			      Aw__Server *server)
 {
-	enum topo_heartbeat_result result;
-
 	if (!ctl_leads(ctl)) {
 		if (ctl->cluster->leader_link &&
 		    !queue_heartbeat(ctl->cluster, server)) {
@@ -369,12 +378,10 @@
 		return;
 	}
 	ctl_crashes_on_heartbeat(ctl, server);
-	result = topo_heartbeat(ctl->cluster->topo, server);
-	if (result == TOPO_INVALID || result == TOPO_ERR_MEMORY) {
-		event_log(EVENT_HEARTBEAT, "server=%s reason=%s", server->id,
-			  result == TOPO_INVALID ? "invalid" : "memory");
-		respond_error(ctl, exchange, result == TOPO_INVALID ? 400 : 503,
-			      "heartbeat", "a field is out of range");
+	if (topo_heartbeat(ctl->cluster->topo, server) == TOPO_ERR_MEMORY) {
+		event_log(EVENT_HEARTBEAT, "server=%s reason=memory",
+			  server->id);
+		respond_error(ctl, exchange, 503, "memory", "out of memory");
 		return;
 	}
 	respond_heartbeat(ctl, exchange, server);
@@ -383,6 +390,14 @@
 static void on_heartbeat(struct ctl *ctl, struct http_exchange *exchange,
 			 Aw__Server *server)
 {
+	/*
+	 * Checked before it is queued: heartbeats are forwarded together, and
+	 * a frame that one of them makes too large would lose the others.
+	 */
+	if (!topo_is_valid(server)) {
+		refuse_heartbeat(ctl, exchange, server);
+		return;
+	}
 	if (server->state == AW__SERVER_STATE__SERVER_LEAVING) {
 		record_departure(ctl, exchange, server->id,
 				 server->incarnation);
--- a/almondward/topo.c
+++ b/almondward/topo.c
@@ -165,7 +165,7 @@
 	return *text && strlen(text) < bytes_max;
 }
 
-static bool is_valid(const Aw__Server *from)
+bool topo_is_valid(const Aw__Server *from)
 {
 	return has_valid_length(from->id, NAME_BYTES_MAX) &&
 	       has_valid_length(from->upstream, NAME_BYTES_MAX) &&
@@ -258,7 +258,7 @@
 	struct server_entry *entry;
 	bool is_changed;
 
-	if (!is_valid(from))
+	if (!topo_is_valid(from))
 		return TOPO_INVALID;
 	entry = find_server(topo, from->id);
 	if (entry && (from->incarnation < entry->server.incarnation ||
@@ -558,7 +558,7 @@
 	struct server_entry *entry = find_server(topo, from->id);
 	uint64_t at_ms = now_ms(topo);
 
-	if (!is_valid(from))
+	if (!topo_is_valid(from))
 		return 0;
 	if (!entry)
 		entry = add_server(topo, from);
--- a/almondward/topo.h
+++ b/almondward/topo.h
@@ -68,6 +68,14 @@
  */
 void topo_become_leader(struct topo *topo, uint64_t term);
 
+/*
+ * Returns whether the message describes a server that requests can be sent to:
+ * names of limited length without control characters, an address that a
+ * connection can be opened to, and numbers in range. Servers announce
+ * themselves, so any field may have any value.
+ */
+bool topo_is_valid(const Aw__Server *server);
+
 /*
  * Adds or updates a backend server from its heartbeat. Announcements of a
  * departure go to topo_leave() instead.
--- a/tests/process_entries.py
+++ b/tests/process_entries.py
@@ -135,10 +135,36 @@
     assert len(server.arrivals) > before, "the server gets no requests any more"
 
 
+async def large_heartbeats_displace_no_others(cluster):
+    """A control instance that is not the leader forwards heartbeats together. Some of
+    several megabytes must not keep it from forwarding the others: the servers, all
+    of which it hears, stay in the list beyond the time without heartbeats after
+    which they leave it."""
+    leader = leader_name(cluster)
+    follower = next(name for name in cluster.names("control") if name != leader)
+    address = cluster.address(follower, "control")
+    cluster.control_order = lambda: [address]
+    body = json.dumps({"service": "desk", "address": "127.0.0.1:9", "zone": "z" * (9 << 20),
+                       "concurrency": 8, "state": "ready", "sequence": 1, "born": 1}).encode()
+    callers = Callers(cluster, "entry-0", 2)
+    sent, end = 0, time.monotonic() + 14
+
+    async def send():
+        nonlocal sent
+        while time.monotonic() < end:
+            await clusterlib.call(address, "PUT", "/api/instances/odd", None, body, 3.0)
+            sent += 1
+
+    await asyncio.gather(send(), send())
+    print(f"# {sent} large heartbeats", flush=True)
+    await callers.check()
+    check_processes(cluster)
+
+
 def main():
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    cases = [odd_notices_remove_no_upstream]
+    cases = [odd_notices_remove_no_upstream, large_heartbeats_displace_no_others]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
                           for case in cases if not chosen or case.__name__ in chosen])
