topo: Refuse servers whose address or name cannot be used

A heartbeat with a port out of range, such as "127.0.0.1:99999", without a port or with a host name was listed to all entry instances. No connection can be opened to such an address, and as the server never failed a request, requests kept being given to it: each cost an attempt, and callers got 503 although good servers were idle. "0.0.0.0:80" was an address of the entry instance itself. Control characters in names went to the log and to request headers.

The address must be an IP address and a port from 1 to 65535, as in the settings file; names have no control characters.

Topo.ServerWithoutUsableAddressIsNotAdded and ServerWithUnusableNameIsNotAdded failed before.

--- a/almondward/topo.c
+++ b/almondward/topo.c
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "message.h"
+#include "settings.h"
 
 /*
  * Removals that are kept for incremental feeds. A follower that has missed more
@@ -160,19 +161,35 @@
 	}
 }
 
-static bool has_valid_length(const char *text, size_t bytes_max)
+/*
+ * Names are written to logs and request headers, so they must not contain
+ * control characters.
+ */
+static bool is_valid_name(const char *text)
+{
+	size_t len_bytes = 0;
+
+	for (; text[len_bytes]; len_bytes++)
+		if ((unsigned char)text[len_bytes] < ' ' ||
+		    text[len_bytes] == 0x7f)
+			return false;
+	return len_bytes && len_bytes < NAME_BYTES_MAX;
+}
+
+static bool is_valid_address(const char *address)
 {
-	return *text && strlen(text) < bytes_max;
+	bool is_wildcard = false;
+
+	return !set_address_error(address, &is_wildcard) && !is_wildcard;
 }
 
-bool topo_is_valid(const Aw__Server *from)
+bool topo_is_valid(const Aw__Server *server)
 {
-	return has_valid_length(from->id, NAME_BYTES_MAX) &&
-	       has_valid_length(from->upstream, NAME_BYTES_MAX) &&
-	       has_valid_length(from->address, ADDRESS_BYTES_MAX) &&
-	       has_valid_length(from->zone, NAME_BYTES_MAX) && from->slots &&
-	       from->slots <= TOPO_SLOTS_MAX &&
-	       from->cold_left_ms <= WARM_UP_MAX_MS;
+	return is_valid_name(server->id) && is_valid_name(server->upstream) &&
+	       is_valid_name(server->zone) &&
+	       is_valid_address(server->address) && server->slots &&
+	       server->slots <= TOPO_SLOTS_MAX &&
+	       server->cold_left_ms <= WARM_UP_MAX_MS;
 }
 
 /*
--- a/tests/process_entries.py
+++ b/tests/process_entries.py
@@ -111,6 +111,50 @@
     cluster.start(name)
 
 
+async def odd_heartbeats_name_no_upstream(cluster):
+    """Odd heartbeats at every control instance, beside good ones, while the
+    configuration changes and a control and an entry instance restart: no process
+    ends, every server gets requests, and no request is sent to, or waits for, an
+    upstream that an odd entry names."""
+    bodies = odd_heartbeats()
+    answers = {}
+
+    async def send(control):
+        address = cluster.address(control, "control")
+        for number, body in enumerate(bodies):
+            answer = await clusterlib.call(address, "PUT", f"/api/instances/odd-{number}", None,
+                                           body, 1.0)
+            status = answer and answer.status
+            answers.setdefault(status, []).append((control, number))
+
+    callers = Callers(cluster, "entry-0")
+    controls = cluster.names("control")
+    end = time.monotonic() + 3
+    while time.monotonic() < end:
+        await asyncio.gather(*(send(name) for name in controls))
+    server_errors = [s for s in answers if s is None or s >= 500]
+    assert not server_errors, {s: answers[s][:5] for s in server_errors}
+    accepted = {bodies[number][:120] for _, number in answers.get(200, [])}
+    print(f"# {len(bodies)} odd heartbeats, accepted: {accepted}", flush=True)
+
+    config = dict(clusterlib.CONFIG, version=2)
+    config["routes"] = [dict(r, timeoutS=2.75) for r in config["routes"]]
+    assert (await cluster.put_config(config, 1)).status == 200
+    follower = next(name for name in controls if name != leader_name(cluster))
+    await restart(cluster, follower)
+    await restart(cluster, "entry-1")
+    await cluster.wait("entry-1 serves", lambda: cluster.serves("entry-1"), 15)
+    await asyncio.gather(*(send(name) for name in controls))
+    check_processes(cluster)
+    await callers.check()
+    await check_each_is_used(cluster)
+    for name in cluster.names("entry"):
+        tried = [line for line in cluster.logs()[name].splitlines() if "server=odd-" in line]
+        assert not tried, (len(tried), tried[:2])
+    read = await cluster.read_config()
+    assert read == config, read
+
+
 async def odd_notices_remove_no_upstream(cluster):
     """Notices of a departure, with the id of a server that runs, whose body cannot be
     read or names a start in the far future: the server keeps getting requests, and
@@ -164,7 +208,7 @@
 def main():
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    cases = [odd_notices_remove_no_upstream, large_heartbeats_displace_no_others]
+    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream, large_heartbeats_displace_no_others]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
                           for case in cases if not chosen or case.__name__ in chosen])
--- a/tests/topo_test.cc
+++ b/tests/topo_test.cc
@@ -82,6 +82,70 @@
 	EXPECT_EQ(0u, topo_nr_servers(topo));
 }
 
+// An entry instance can open no connection to such an address, so requests that
+// were given to the server would be refused.
+TEST_F(Topo, ServerWithoutUsableAddressIsNotAdded)
+{
+	const std::string addresses[] = { "10.0.0.1",
+					  "10.0.0.1:",
+					  "10.0.0.1:0",
+					  "10.0.0.1:65536",
+					  "10.0.0.1:99999",
+					  "10.0.0.1:-1",
+					  "10.0.0.1:8080x",
+					  "10.0.0.1:1e3",
+					  "10.0.0.1: 80",
+					  ":80",
+					  "host.example:80",
+					  "10.0.0:80",
+					  "10.0.0.256:80",
+					  "::1:80",
+					  "[::1]",
+					  "[::1]:0",
+					  "[::1:80",
+					  "0.0.0.0:80",
+					  "[::]:80",
+					  "10.0.0.1:80\n",
+					  " 10.0.0.1:80",
+					  "10.0.0.1\xff:80",
+					  std::string(ADDRESS_BYTES_MAX, '1') +
+						  ":80",
+					  "http://10.0.0.1:80" };
+
+	for (const auto &address : addresses)
+		EXPECT_EQ(TOPO_INVALID, heartbeat("s1", 1, 1, address.c_str()))
+			<< address;
+	EXPECT_EQ(0u, topo_nr_servers(topo));
+	EXPECT_EQ(TOPO_ACCEPTED, heartbeat("s1", 1, 1, "10.0.0.1:65535"));
+	EXPECT_EQ(TOPO_ACCEPTED, heartbeat("s2", 1, 1, "[fd00::1]:1"));
+}
+
+// Names are written to logs and headers, and have limited space in the table.
+TEST_F(Topo, ServerWithUnusableNameIsNotAdded)
+{
+	const std::string names[] = { "",     std::string(NAME_BYTES_MAX, 'n'),
+				      "a\nb", "a\rb",
+				      "a\tb", "a\x7f" };
+
+	for (const auto &name : names) {
+		EXPECT_EQ(TOPO_INVALID, heartbeat(name.c_str(), 1, 1)) << name;
+		for (int field = 0; field < 2; field++) {
+			Aw__Server server = AW__SERVER__INIT;
+
+			server.id = (char *)"s1";
+			server.upstream = (char *)"u";
+			server.zone = (char *)"z1";
+			server.address = (char *)"10.0.0.1:80";
+			server.slots = 1;
+			(field ? server.upstream : server.zone) =
+				(char *)name.c_str();
+			EXPECT_EQ(TOPO_INVALID, topo_heartbeat(topo, &server))
+				<< name << " in field " << field;
+		}
+	}
+	EXPECT_EQ(0u, topo_nr_servers(topo));
+}
+
 TEST_F(Topo, SilentServersAreMarkedAndExpire)
 {
 	heartbeat("s1", 1, 1);
