topo: Skip servers of a feed that cannot be used

A leader of another version may list a server with a state or a field that this version does not know. A server with an unknown state counted as active, and an entry that became invalid stayed as it was. Such a server is now left out or removed, the others hold, and one line per feed is logged; a feed has only what changed, so it is not logged again.

Topo.UnusableServersInAFeedAreSkipped failed before: a server with state 99 was listed.

--- a/almondward/topo.c
+++ b/almondward/topo.c
@@ -6,6 +6,7 @@
 
 #include <uthash.h>
 
+#include "log.h"
 #include "message.h"
 #include "settings.h"
 
@@ -570,13 +571,22 @@
 	feed->n_servers = feed->n_removed_servers = feed->n_instances = 0;
 }
 
+/*
+ * A leader of another version may know other states, or accept fields that this
+ * version does not.
+ */
+static bool is_usable(const Aw__Server *from)
+{
+	return topo_is_valid(from) &&
+	       (from->state == AW__SERVER_STATE__SERVER_ACTIVE ||
+		from->state == AW__SERVER_STATE__SERVER_SILENT);
+}
+
 static int apply_server(struct topo *topo, const Aw__Server *from)
 {
 	struct server_entry *entry = find_server(topo, from->id);
 	uint64_t at_ms = now_ms(topo);
 
-	if (!topo_is_valid(from))
-		return 0;
 	if (!entry)
 		entry = add_server(topo, from);
 	if (!entry)
@@ -622,14 +632,26 @@
 {
 	uint64_t version = topo->version;
 	struct server_entry *entry;
-	size_t i;
+	size_t i, nr_skipped = 0;
 
 	if (feed->term < topo->term)
 		return 0;
 	topo->term = feed->term;
-	for (i = 0; i < feed->n_servers; i++)
-		if (apply_server(topo, feed->servers[i]))
-			return -1;
+	for (i = 0; i < feed->n_servers; i++) {
+		if (is_usable(feed->servers[i])) {
+			if (apply_server(topo, feed->servers[i]))
+				return -1;
+			continue;
+		}
+		entry = find_server(topo, feed->servers[i]->id);
+		if (entry)
+			remove_server(topo, entry);
+		nr_skipped++;
+	}
+	/* A feed has only servers that changed, so it is not logged again. */
+	if (nr_skipped)
+		log_warn("topo", "skipped %zu servers in a feed: not usable",
+			 nr_skipped);
 	if (feed->table_whole)
 		remove_unlisted(topo, version);
 	for (i = 0; i < feed->n_removed_servers; i++) {
--- a/tests/topo_test.cc
+++ b/tests/topo_test.cc
@@ -146,6 +146,36 @@
 	EXPECT_EQ(0u, topo_nr_servers(topo));
 }
 
+// A leader of another version may accept entries that this one does not. The
+// other entries of its feed still apply.
+TEST_F(Topo, UnusableServersInAFeedAreSkipped)
+{
+	Aw__Server servers[6], *list[6];
+	Aw__Feed message = AW__FEED__INIT;
+
+	for (size_t i = 0; i < 6; i++) {
+		aw__server__init(&servers[i]);
+		servers[i].id = (char *)(i ? "odd" : "good");
+		servers[i].upstream = (char *)"u";
+		servers[i].zone = (char *)"z1";
+		servers[i].address = (char *)"10.0.0.1:80";
+		servers[i].slots = 1;
+		list[5 - i] = &servers[i];
+	}
+	servers[1].address = (char *)"10.0.0.1:99999";
+	servers[2].slots = UINT32_MAX;
+	servers[3].cold_left_ms = UINT32_MAX;
+	servers[4].state = (Aw__ServerState)99;
+	aw__server__init(&servers[5]);
+	message.term = 1;
+	message.table_whole = true;
+	message.servers = list;
+	message.n_servers = 6;
+	EXPECT_EQ(0, topo_apply_feed(follower, &message));
+	EXPECT_EQ(1u, topo_nr_servers(follower));
+	EXPECT_NE(nullptr, topo_find(follower, "good"));
+}
+
 TEST_F(Topo, SilentServersAreMarkedAndExpire)
 {
 	heartbeat("s1", 1, 1);
