--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -330,6 +330,32 @@
 	EXPECT_EQ(SVC_CALL_INVALID, plain.call.kind);
 }
 
+// A name of a member is written as JSON again, whatever its characters are.
+TEST(Platform, ReadReturnsOddMembersAsSent)
+{
+	const std::string text = "{\"version\":1,\"routes\":[],\"services\":[],"
+				 "\"a\\\"b\\\\\\n\":{\"c\":1},\"\":2}";
+	Call put("PUT", "/api/config", text, "0");
+	struct plan *plan = plan_create();
+	struct buf out = BUF_INIT;
+	char detail[256];
+
+	ASSERT_EQ(SVC_CALL_PLAN_CHANGE, put.call.kind) << put.call.detail;
+	ASSERT_EQ(PLAN_ACCEPTED, plan_change(plan, 1, put.call.u.change, detail,
+					     sizeof(detail)))
+		<< detail;
+	ASSERT_EQ(0, platform_adapter()->format_plan(plan_message(plan), &out));
+	cJSON *sent = cJSON_Parse(text.c_str());
+	cJSON *returned =
+		cJSON_ParseWithLength((const char *)out.data, out.len_bytes);
+	EXPECT_TRUE(cJSON_Compare(sent, returned, true))
+		<< std::string((const char *)out.data, out.len_bytes);
+	cJSON_Delete(sent);
+	cJSON_Delete(returned);
+	buf_release(&out);
+	plan_destroy(plan);
+}
+
 TEST(Platform, DecodesOtherCalls)
 {
 	Call leave("DELETE", "/api/instances/i-1", "{\"born\":12}");
--- a/tests/process_entries.py
+++ b/tests/process_entries.py
@@ -205,10 +205,46 @@
     check_processes(cluster)
 
 
+async def restart_with_odd_entries_in_the_log(cluster):
+    """Departures, zones and configurations with odd values in the log, also some that
+    earlier versions accepted, end no instance, neither at once nor when all restart."""
+    ids = ["x" * 63, "a'b", "%20", "%00", "~", "-", "odd.1"]
+    for address in cluster.control_order():
+        for number in ("0", "9007199254740991", "1700000000000"):
+            for name in ids:
+                await clusterlib.call(address, "DELETE", f"/api/instances/{name}", None,
+                                      f'{{"born":{number}}}'.encode(), 1.0)
+        for name in ids:
+            for method in ("POST", "DELETE", "POST"):
+                await clusterlib.call(address, method, f"/api/evacuations/{name}", None, b"", 1.0)
+    config = dict(clusterlib.CONFIG, version=2 ** 53 - 2)
+    config['odd "name"\\\n'] = {"kept": "\U0001f600"}
+    deep = value = []
+    for _ in range(400):
+        value.append([])
+        value = value[0]
+    config["deep"] = deep
+    config["routes"] = [dict(r, name=r["name"] + "-" * 300) for r in config["routes"]]
+    answer = await cluster.put_config(config, 1)
+    assert answer and answer.status == 200, answer and (answer.status, answer.body)
+    read = await cluster.read_config()
+    assert read == config, read
+    check_processes(cluster)
+    for name in cluster.instances:
+        cluster.signal(name, signal.SIGTERM)
+    for name in cluster.instances:
+        cluster.processes[name].wait(timeout=15)
+        cluster.start(name)
+    for name in cluster.names("entry"):
+        await cluster.wait(f"{name} serves", lambda n=name: cluster.serves(n), 20)
+    assert await cluster.read_config() == config
+    check_processes(cluster)
+
+
 def main():
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream, large_heartbeats_displace_no_others]
+    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream, large_heartbeats_displace_no_others, restart_with_odd_entries_in_the_log]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
                           for case in cases if not chosen or case.__name__ in chosen])
