--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -330,6 +330,24 @@
 	EXPECT_EQ(SVC_CALL_INVALID, plain.call.kind);
 }
 
+// Requests of a tenant with such a name would carry another name, or none.
+TEST(Platform, RefusesUnusableNamesInConfigurations)
+{
+	for (const char *member :
+	     { "{\"name\":\"a\",\"maxConns\"", "{\"name\":\"t\",\"apiKeys\"" })
+		for (const std::string &name :
+		     { std::string("a\\nb"), std::string("a\\r\\nX: y"),
+		       std::string(NAME_BYTES_MAX, 'n') }) {
+			std::string text = document;
+			size_t at = text.find(member);
+
+			ASSERT_NE(std::string::npos, at);
+			text.replace(at + 9, 1, name);
+			Call put("PUT", "/api/config", text, "0");
+			EXPECT_EQ(SVC_CALL_INVALID, put.call.kind) << text;
+		}
+}
+
 // A name of a member is written as JSON again, whatever its characters are.
 TEST(Platform, ReadReturnsOddMembersAsSent)
 {
