control: Answer 413 to a change that the log cannot hold

A change that is longer than an entry of the log may be (960 KB) got 503 "not_recorded" at every control instance, so an operator sent it again and again. It can never be recorded, so the answer is 413, which ends the call.

--- a/almondward/control_service.c
+++ b/almondward/control_service.c
@@ -29,6 +29,7 @@
  * use another control instance.
  */
 #define HEARTBEATS_MAX 4096
+#define OP_TIME_BYTES_MAX 16 /* what the leader adds to an operation */
 #define CONTROLS_MAX 32 /* candidates for receiving heartbeats */
 
 /*
@@ -193,16 +194,23 @@
 		respond_error(ctl, exchange, 503, "memory", "no digest");
 		return;
 	}
-	pending = pending_change_create(ctl, exchange, "plan", req->method);
-	if (!pending)
-		return;
-	pending->version = change->version;
-	pending->base_version = change->base_version;
 	change->digest.data = digest;
 	change->digest.len = sizeof(digest);
 	op.body_case = AW__OP__BODY_PLAN_CHANGE;
 	op.plan_change = change;
+	if (aw__op__get_packed_size(&op) + OP_TIME_BYTES_MAX >
+	    RAFT_OP_BYTES_MAX) {
+		respond_error(ctl, exchange, 413, "too_large",
+			      "the change is too large to be recorded");
+		goto out;
+	}
+	pending = pending_change_create(ctl, exchange, "plan", req->method);
+	if (!pending)
+		goto out;
+	pending->version = change->version;
+	pending->base_version = change->base_version;
 	ctl_submit(ctl, &op, change_done, pending);
+out:
 	/* On the stack, so it must not be freed with change. */
 	change->digest.data = NULL;
 	change->digest.len = 0;
--- a/almondward/raft.h
+++ b/almondward/raft.h
@@ -31,6 +31,14 @@
 #define RAFT_ELECTION_MIN_MS 650
 #define RAFT_ELECTION_MAX_MS 1050
 #define RAFT_HANDOVER_BYTES_MAX (512 << 10) /* fits a frame of 1 MiB */
+/*
+ * Limit of the entries in one message, which keeps messages under 1 MiB. A
+ * single entry never exceeds it.
+ */
+#define RAFT_BATCH_BYTES_MAX (UINT64_C(960) << 10)
+#define RAFT_ENTRY_HEAD_BYTES 64 /* index, term, kind and lengths */
+/* raft_propose() refuses longer operations. */
+#define RAFT_OP_BYTES_MAX (RAFT_BATCH_BYTES_MAX - RAFT_ENTRY_HEAD_BYTES)
 
 struct raft;
 struct store;
--- a/almondward/raft_state.h
+++ b/almondward/raft_state.h
@@ -15,13 +15,6 @@
  */
 #define RAFT_VOTE_REFUSAL_MS (RAFT_LEASE_MS + 50)
 
-/*
- * Limit of the entries in one message, which keeps messages under 1 MiB. A
- * single entry never exceeds it.
- */
-#define RAFT_BATCH_BYTES_MAX (UINT64_C(960) << 10)
-#define RAFT_ENTRY_HEAD_BYTES 64 /* index, term, kind and lengths */
-#define RAFT_OP_BYTES_MAX (RAFT_BATCH_BYTES_MAX - RAFT_ENTRY_HEAD_BYTES)
 #define RAFT_BATCH_ENTRIES_MAX 512
 #define RAFT_WINDOW 8 /* unacknowledged append messages per peer, at most */
 
--- a/tests/process_entries.py
+++ b/tests/process_entries.py
@@ -241,10 +241,42 @@
     check_processes(cluster)
 
 
+async def odd_configurations_are_refused(cluster):
+    """Configurations with values that cannot be read, or are out of range, get a 4xx at
+    once at every control instance; the next good one is accepted."""
+    base = json.dumps(dict(clusterlib.CONFIG, version=2))
+    patch = '{"version": 2, "upsert": ' + json.dumps(clusterlib.CONFIG) + "}"
+    calls = [(method, body) for method in ("PUT", "PATCH")
+             for body in ("[" * DEPTH, "{" * DEPTH, '{"a":' * DEPTH, "\xff" * 100)]
+    for method, body in (("PUT", base), ("PATCH", patch)):
+        calls += [(method, text) for text in (
+            body[:-2], body + "}", body.replace("kim", "k\\u0000im"),
+            body.replace('"kim"', '"k\\nim"'), body.replace('"kim"', '"' + "k" * 70 + '"'))]
+        for member in ('"timeoutS": 2.5', '"ratePerS": 1000', '"maxConns": 300', '"version": 2',
+                       '"maxBodyBytes": 1048576', '"maxAttempts": 2', '"priority": 2'):
+            assert member in body, (method, member)
+            calls += [(method, body.replace(member, member.split(":")[0] + ": " + value, 1))
+                      for value in ("-1", "1e400", "1e30", "9223372036854775808", "NaN", '"2"',
+                                    "[2]", "[" * DEPTH)]
+    # More than one entry of the log can hold.
+    calls.append(("PUT", json.dumps(dict(clusterlib.CONFIG, version=2, more="x" * (3 << 20)))))
+    for address in cluster.control_order():
+        for method, body in calls:
+            answer = await clusterlib.call(address, method, "/api/config", {"If-Match": 1},
+                                           body.encode("latin-1"), 2.0)
+            assert answer and 400 <= answer.status < 500, (
+                method, body[:200], body[-80:], answer and (answer.status, answer.body))
+    check_processes(cluster)
+    assert await cluster.read_config() == clusterlib.CONFIG
+    answer = await cluster.put_config(json.loads(base), 1)
+    assert answer and answer.status == 200, answer and answer.status
+    assert await cluster.serves("entry-0")
+
+
 def main():
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream, large_heartbeats_displace_no_others, restart_with_odd_entries_in_the_log]
+    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream, large_heartbeats_displace_no_others, restart_with_odd_entries_in_the_log, odd_configurations_are_refused]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
                           for case in cases if not chosen or case.__name__ in chosen])
