gateway: Find the weights of a route with a long name

The entry of a route in the table of weights had the name cut to 63 bytes, but was looked up by the whole name. A route with a longer name got a new entry with each request: all requests went to the part with the largest weight, and memory was used up slowly. The table now has the hash of the name.

long_route_names_keep_their_weights (process_entries.py) failed before: 40 of 40 requests went to the first of two equal parts, now 20.

--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -47,7 +47,7 @@
 
 /* Smooth weighted round robin over the weighted upstreams of a route. */
 struct gw_round_robin {
-	char route[NAME_BYTES_MAX];
+	uint64_t route_hash; /* of its name, which may be of any length */
 	uint64_t plan_index; /* of the weights */
 	int64_t *current_weights; /* one for each upstream of the route */
 	size_t nr;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1315,14 +1315,16 @@
 {
 	struct gw_round_robin *at;
 	int64_t *current_weights;
+	uint64_t hash = hash_text(route->name);
 
-	HASH_FIND_STR(gw->round_robins, route->name, at);
+	HASH_FIND(hh, gw->round_robins, &hash, sizeof(hash), at);
 	if (!at) {
 		at = calloc(1, sizeof(*at));
 		if (!at)
 			return NULL;
-		snprintf(at->route, sizeof(at->route), "%s", route->name);
-		HASH_ADD_STR(gw->round_robins, route, at);
+		at->route_hash = hash;
+		HASH_ADD(hh, gw->round_robins, route_hash,
+			 sizeof(at->route_hash), at);
 	}
 	if (at->plan_index == plan_index(gw->plan) && at->nr == route->n_parts)
 		return at;
--- a/tests/process_entries.py
+++ b/tests/process_entries.py
@@ -273,10 +273,25 @@
     assert await cluster.serves("entry-0")
 
 
+async def long_route_names_keep_their_weights(cluster):
+    """Half of the requests of a route go to a service without servers, by weight, also
+    if the name of the route is longer than the names of other items can be."""
+    config = dict(clusterlib.CONFIG, version=2)
+    config["services"] = config["services"] + [{"name": "empty"}]
+    config["routes"] = [dict(r, name=r["name"] * 30, backends=[
+        {"service": "empty", "weight": 50}, {"service": "desk", "weight": 50}])
+        for r in config["routes"]]
+    assert (await cluster.put_config(config, 1)).status == 200
+    await asyncio.sleep(1)
+    answers = [await cluster.request("entry-0", f"/read/{i}") for i in range(40)]
+    statuses = [answer and answer.status for answer in answers]
+    assert statuses.count(200) == statuses.count(503) == 20, statuses
+
+
 def main():
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream, large_heartbeats_displace_no_others, restart_with_odd_entries_in_the_log, odd_configurations_are_refused]
+    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream, large_heartbeats_displace_no_others, restart_with_odd_entries_in_the_log, odd_configurations_are_refused, long_route_names_keep_their_weights]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
                           for case in cases if not chosen or case.__name__ in chosen])
