platform: Take no id from a response that has several

A response with two ids, ours first, counted as ours. Where a server wrote both the id of an earlier request and ours to a refusal, a request that was running was refused as not run, and ran at a second server. Such a response, like one with an empty id, now has none: the attempt fails as one that may have run.

--- a/almondward/service.h
+++ b/almondward/service.h
@@ -111,7 +111,7 @@
 };
 
 struct svc_answer {
-	const char *request_id; /* NULL: not given */
+	const char *request_id; /* NULL: not given, or not only one */
 	const char *server_id; /* NULL: not given */
 	bool not_run; /* the server states that it has not executed it */
 	bool tells_not_run; /* callers read its status as "not run" */
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -161,6 +161,7 @@
         self.within_pause = 0     # requests received 0.5 to 3 s after that
         self.silent = False       # sends no heartbeats
         self.last_response = b""  # last complete response, for duplicates
+        self.refused = {}         # first refusal on each connection, for stale_*
         self.work_s = 0.02        # time that a request takes
         self.cold_until = 0.0     # end of the warm-up announced in heartbeats
         self.tasks = []
@@ -263,6 +264,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.refused.pop(writer, None)
             writer.close()
 
     async def handle_request(self, writer, first, headers, body):
@@ -276,6 +278,11 @@
         reset           the connection is reset instead of a response
         hang            the response is delayed beyond every deadline
         shed            the request is refused as not executed
+        status_*        the request runs, and the response has this status although
+                        it does not state that the request was not executed
+        stale_*         the first request on a connection is refused; the next one
+                        runs, and a refusal as send_stale_refusal() describes arrives
+                        while it does
         endless_*       the named part of the response never ends
         one_byte        the headers arrive one byte at a time and never end
 
@@ -304,7 +311,12 @@
             writer.write((f"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: {request_id}"
                           f"{self.limit_header()}\r\nContent-Length: 0\r\n\r\n").encode())
             return True
+        if self.fault and self.fault.startswith("stale") and writer not in self.refused:
+            return await self.refuse_first(writer, request_id)
         self.cluster.record_run(self, request_id, method, target, headers, body)
+        if self.fault and self.fault.startswith("stale"):
+            if not await self.send_stale_refusal(writer, request_id):
+                return False
         if self.cluster.is_lethal(target, body):
             await asyncio.sleep(self.crash_delay_s)
             if not self.is_down:
@@ -344,6 +356,39 @@
         self.last_response = response
         return True
 
+    async def refuse_first(self, writer, request_id):
+        """Refuses the first request on a connection, and, with stale_idle, sends a
+        refusal of another request while the connection is idle."""
+        refusal = (f"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: {request_id}\r\n"
+                   "Content-Length: 0\r\n\r\n").encode()
+        self.refused[writer] = refusal
+        writer.write(refusal)
+        if self.fault == "stale_idle":
+            await asyncio.sleep(self.cluster.rng.random() * 0.02)
+            writer.write(refusal)
+        return True
+
+    async def send_stale_refusal(self, writer, request_id):
+        """Sends a refusal that is not of the request that runs: a copy of the earlier
+        one (stale_copy), without an id (stale_bare), with another status and without
+        an id (stale_400 and so on), with an id that resembles the right one
+        (stale_prefix, stale_case), or with both ids (stale_both). After stale_end
+        the connection closes, and after stale_hang no response follows. Returns
+        False to close the connection."""
+        refusal = self.refused[writer]
+        kind = self.fault.split("_")[1]
+        status = kind if kind.isdigit() else "503"
+        ids = {"prefix": [request_id[:-1]], "case": [request_id.swapcase()],
+               "both": [request_id, "other"]}.get(kind, [])
+        if kind not in ("copy", "idle", "end", "hang"):
+            lines = [f"HTTP/1.1 {status} Busy", "X-Not-Executed: 1", "Content-Length: 0"]
+            refusal = "\r\n".join(lines + [f"X-Request-Id: {i}" for i in ids] + ["", ""]).encode()
+        await asyncio.sleep(self.cluster.rng.random() * 0.01)
+        writer.write(refusal)
+        if kind == "hang":
+            await asyncio.sleep(30)
+        return kind != "end"
+
     def notice_header(self):
         if self.notice != "leaves":
             return ""
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -497,6 +497,21 @@
 		  read_answer(429, { { "Retry-After", "2" } }).backoff);
 }
 
+// A response whose id is not certain must not pass for a refusal of a request
+// that another server could then run again.
+TEST(Platform, ResponseHasOneIdOrNone)
+{
+	EXPECT_EQ(nullptr, read_answer(503, {}).request_id);
+	EXPECT_EQ(nullptr,
+		  read_answer(503, { { "X-Request-Id", "" } }).request_id);
+	EXPECT_EQ(nullptr, read_answer(503, { { "X-Request-Id", "a" },
+					      { "x-request-id", "b" } })
+				   .request_id);
+	EXPECT_STREQ("a", read_answer(503, { { "X-Request-Id", "a" },
+					     { "x-request-id", "a" } })
+				  .request_id);
+}
+
 // A caller takes these statuses as "not run", whatever the server means.
 TEST(Platform, KnowsStatusesThatPromise)
 {
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -35,6 +35,35 @@
                 assert answer.status == 200, (fault, i, answer.status)
 
 
+async def earlier_refusals_repeated(cluster):
+    """A server repeats an earlier refusal on a connection that carries the next
+    request, which runs. That request is neither refused as not run nor run again,
+    whether its own response follows, the connection closes, or nothing comes."""
+    for fault in ("copy", "idle", "bare", "400", "408", "421", "429", "prefix", "case", "both",
+                  "end", "hang"):
+        for server in cluster.servers.values():
+            server.fault = f"stale_{fault}"
+        before, statuses = len(cluster.runs), []
+
+        async def caller(number):
+            for i in range(6):
+                # The case of a letter must differ from that of the id.
+                request_id = f"{cluster.rng.getrandbits(60):015x}a"
+                method, path = ("GET", "read") if i == 5 else ("POST", "write")
+                answer = await cluster.request("entry-0", f"/{path}/{number}", method, b"x" * i,
+                                               request_id, deadline_ms=400)
+                statuses.append(answer and answer.status)
+
+        await asyncio.gather(*(caller(i) for i in range(6)))
+        counts = {s: statuses.count(s) for s in set(statuses)}
+        print(f"# stale_{fault}: {counts}, {len(cluster.runs) - before} run", flush=True)
+        assert set(statuses) <= {200, 502, 503, 504}, (fault, counts)
+        assert len(cluster.runs) > before, fault
+        assert not cluster.broken, (fault, cluster.broken[:3])
+        if fault in ("copy", "idle", "prefix", "case"):
+            assert counts.get(200), (fault, counts)
+
+
 async def statuses_that_promise(cluster):
     """A server runs a request and responds with a status that tells callers that it
     was not run. The caller gets 502 instead."""
@@ -244,7 +273,7 @@
 def main():
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    cases = [duplicate_responses, statuses_that_promise,
+    cases = [duplicate_responses, earlier_refusals_repeated, statuses_that_promise,
              stop_under_load,
              departures_and_withdrawals_survive_restart,
              malformed_messages, late_heartbeats_and_suspended_instance, lost_responses,
