gateway: Send requests without an id over new connections

The response to a request without an id cannot be told from an earlier one on the connection. A server that repeated an earlier refusal on a kept connection made such a request, which was running, run at two more servers, and the caller was told that it had not run. A request without an id, or with an empty one, now takes a connection that carried no request yet; one that it used can carry requests with an id.

refusals_of_requests_without_id (process_faults.py) failed before: one request ran at three servers.

--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -99,7 +99,11 @@
 				  now_ms - http_conn_idle_since_ms(at->conn);
 		if (idle_ms > idle_max_ms)
 			return NULL;
-		if (id_hash && at->last_id_hash == id_hash)
+		/*
+		 * An earlier response on the connection could not be told from
+		 * the response to a request without an id or with the same id.
+		 */
+		if (id_hash ? at->last_id_hash == id_hash : !at->is_new)
 			continue;
 		conn = at->conn;
 		conn_info->is_new = at->is_new;
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -289,7 +289,8 @@
  * idle for no longer than idle_max_ms, or over a new one. id_hash is the hash
  * of the request's id, 0 if it has none. A connection whose last request had
  * the same id is not used: a late duplicate of the response to that one could
- * not be distinguished from the response to this one. Returns NULL when no
+ * not be distinguished from the response to this one. A request without an id
+ * needs a connection without any earlier request. Returns NULL when no
  * connection can be made.
  */
 struct http_conn *gw_backend_call(struct gw *gw, struct steer_server *server,
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -586,7 +586,8 @@
 
 /*
  * A response without an id may be to an earlier request, which only its body
- * could show.
+ * could show. A request without an id is sent over a new connection, which has
+ * no earlier one.
  */
 static bool is_own_id(const struct gw_request *request,
 		      const struct svc_answer *read)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -577,7 +577,7 @@
     # ---- checks of the guarantees ----
 
     def record_run(self, server, request_id, method, target, headers, body):
-        runs = self.runs.setdefault(request_id, [])
+        runs = self.runs.setdefault(request_id or target, [])
         runs.append(server.name)
         if "x-key" in headers:
             self.broken.append(f"{request_id}: the caller's key was forwarded to {server.name}")
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -77,6 +77,30 @@
         assert answer and answer.status == 502, (status, answer and answer.status)
 
 
+async def refusals_of_requests_without_id(cluster):
+    """Requests without an id, on whose connection a server repeats an earlier refusal,
+    also without one. No such request is refused as not run, or run again, once it
+    has run. They are served when the servers have recovered."""
+    for server in cluster.servers.values():
+        server.fault = "stale_bare"
+    statuses = []
+    for i in range(40):
+        target = f"/write/without-id-{i}"
+        answer = await clusterlib.call(cluster.address("entry-0", "callers"), "POST", target,
+                                       {"X-Key": "key-kim", "X-Deadline-Ms": 1000}, b"x", 2.0)
+        statuses.append(answer and answer.status)
+        runs = cluster.runs.get(target, [])
+        assert len(runs) <= 1, (target, runs)
+        assert not runs or statuses[-1] not in (503, 429, 408), (target, statuses[-1], runs)
+    print(f"# statuses: { {s: statuses.count(s) for s in set(statuses)} }", flush=True)
+    for server in cluster.servers.values():
+        server.fault = None
+    for i in range(4):
+        answer = await clusterlib.call(cluster.address("entry-0", "callers"), "GET", f"/read/{i}",
+                                       {"X-Key": "key-kim", "X-Deadline-Ms": 1000}, b"", 2.0)
+        assert answer and answer.status == 200, answer and answer.status
+
+
 async def stop_under_load(cluster):
     """SIGTERM while callers keep connecting and sending requests, some of them in
     two parts: every caller that could connect gets a complete response."""
@@ -274,7 +298,7 @@
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [duplicate_responses, earlier_refusals_repeated, statuses_that_promise,
-             stop_under_load,
+             refusals_of_requests_without_id, stop_under_load,
              departures_and_withdrawals_survive_restart,
              malformed_messages, late_heartbeats_and_suspended_instance, lost_responses,
              endless_responses, notices_of_departure_and_backoff]
