gateway: Keep the outcome open when the retry finds no connection

An idempotent request whose first attempt may have run was refused with 503 if no connection could be opened for the retry, for example at the limit of open files. It gets 502, as in the other ways in which a retry can end. Found by reading, when the responses to refused attempts were looked through; no run has shown it.

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1264,7 +1264,10 @@
 		if (send_attempt(request))
 			return;
 		if (++request->nr_not_run > NOT_RUN_ATTEMPTS_MAX) {
-			refuse(request, REFUSAL_NO_SERVER, RETRY_AFTER_MS);
+			refuse(request,
+			       request->nr_maybe_run ? REFUSAL_SERVER_LOST :
+						       REFUSAL_NO_SERVER,
+			       RETRY_AFTER_MS);
 			return;
 		}
 	}
