tests: Responses and requests that are cut anywhere

An operator of another system reported a 200 with an empty or short body for a response whose head was cut. It cannot happen here: a head is parsed when its empty line has arrived, a response without a length is refused, and a connection that ends before the last byte fails the call. The tests are guards and passed before.

HttpClient.CutResponseIsNeverWhole ends a response after each byte, by close and by reset, on a new and on a kept connection: with a length, in chunks, after a 1xx, 204, HTTP/1.0, to HEAD; and whole ones without a length.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -161,6 +161,9 @@
         self.within_pause = 0     # requests received 0.5 to 3 s after that
         self.silent = False       # sends no heartbeats
         self.last_response = b""  # last complete response, for duplicates
+        self.cut_bytes = 0        # length of a response, for cut_*
+        self.cut_bytes_max = 1    # the longest that is cut
+        self.resets = False       # whether it resets the connection after that
         self.refused = {}         # first refusal on each connection, for stale_*
         self.work_s = 0.02        # time that a request takes
         self.cold_until = 0.0     # end of the warm-up announced in heartbeats
@@ -275,6 +278,8 @@
         copy_after      a copy of the response follows it
         refusal_first   a refusal without a request id precedes it
         cut             the last bytes of the response are missing
+        cut_*           the response, with a length, in chunks, without a length or
+                        after an informational one, ends after self.cut_bytes bytes
         reset           the connection is reset instead of a response
         hang            the response is delayed beyond every deadline
         shed            the request is refused as not executed
@@ -345,6 +350,13 @@
         if self.fault == "cut":
             writer.write(response[:-3])
             return False
+        if self.fault and self.fault.startswith("cut_"):
+            response = self.cut_response(head.encode(), text)
+            writer.write(response)
+            if self.resets:
+                await writer.drain()
+                writer.transport.abort()
+            return False
         if self.fault == "extra":
             unrelated = (head.replace(request_id, "other") + "2\r\n\r\n").encode() + b"no"
             response = unrelated + response
@@ -389,6 +401,20 @@
             await asyncio.sleep(30)
         return kind != "end"
 
+    def cut_response(self, head, text):
+        begin = head[:head.rindex(b"\r\n")]
+        whole = {
+            "cut_length": head + f"{len(text)}\r\n\r\n".encode() + text,
+            "cut_chunked": (begin + b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + f"{len(text):x}\r\n".encode() + text + b"\r\n0\r\n\r\n"),
+            "cut_bare": begin + b"\r\n\r\n" + text,
+            "cut_informational": (b"HTTP/1.1 103 Early Hints\r\n\r\n" + head
+                                  + f"{len(text)}\r\n\r\n".encode() + text),
+        }[self.fault]
+        # A body without a length ends with the connection, so it is always cut.
+        self.cut_bytes_max = len(whole) - (self.fault != "cut_bare")
+        return whole[:min(self.cut_bytes, self.cut_bytes_max)]
+
     def notice_header(self):
         if self.notice != "leaves":
             return ""
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -4,6 +4,10 @@
 #include <string>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "http.h"
 #include "net_fixture.h"
 
@@ -338,6 +342,137 @@
 	}
 }
 
+namespace
+{
+
+// A server on plain sockets, which can reset a connection.
+class CuttingServer
+{
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int conn = -1;
+
+public:
+	std::string address;
+
+	CuttingServer()
+	{
+		struct sockaddr_in sa = {};
+		socklen_t len = sizeof(sa);
+
+		sa.sin_family = AF_INET;
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(0, bind(listener, (struct sockaddr *)&sa, len));
+		EXPECT_EQ(0, listen(listener, 8));
+		EXPECT_EQ(0,
+			  getsockname(listener, (struct sockaddr *)&sa, &len));
+		address = "127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+	}
+
+	~CuttingServer()
+	{
+		if (conn >= 0)
+			close(conn);
+		close(listener);
+	}
+
+	// Returns whether the head of a request has arrived.
+	bool has_request()
+	{
+		char data[1024];
+
+		if (conn < 0)
+			conn = accept4(listener, nullptr, nullptr,
+				       SOCK_NONBLOCK);
+		return conn >= 0 && recv(conn, data, sizeof(data), 0) > 0;
+	}
+
+	void send(const std::string &text)
+	{
+		EXPECT_EQ((ssize_t)text.size(),
+			  ::send(conn, text.data(), text.size(), 0));
+	}
+
+	void end(bool reset)
+	{
+		struct linger linger = { 1, 0 };
+
+		if (reset)
+			setsockopt(conn, SOL_SOCKET, SO_LINGER, &linger,
+				   sizeof(linger));
+		close(conn);
+		conn = -1;
+	}
+};
+
+void check_cut(const char *method, const std::string &response, size_t end,
+	       bool reset, bool kept)
+{
+	CuttingServer server;
+	Client c(method, server.address.c_str());
+	std::string what = response + " cut at " + std::to_string(end) +
+			   (reset ? ", reset" : "") + (kept ? ", kept" : "");
+
+	c.call.response_max_bytes = 1000;
+	if (kept) {
+		c.start();
+		ASSERT_TRUE(c.net.until([&] { return server.has_request(); }));
+		server.send(OK + "Content-Length: 120\r\n\r\n" +
+			    std::string(120, 'x'));
+		ASSERT_TRUE(c.finish());
+		ASSERT_TRUE(c.reusable);
+	}
+	c.start();
+	ASSERT_TRUE(c.net.until([&] { return server.has_request(); }));
+	server.send(response.substr(0, end));
+	/* A reset discards what the client has not read yet. */
+	if (reset && end % 2)
+		c.net.run_ms(1);
+	server.end(reset);
+	ASSERT_TRUE(c.finish()) << what;
+	EXPECT_NE(HTTP_OK, c.result) << what;
+	EXPECT_EQ(0u, c.status) << what;
+	EXPECT_EQ("", c.response_body) << what;
+	EXPECT_TRUE(c.bytes_sent) << what;
+	EXPECT_FALSE(c.reusable) << what;
+}
+
+} // namespace
+
+// A server that stops in its response, in the digits of its length, for
+// example, and closes or resets the connection: the rest must not pass for a
+// whole response, also not over a kept connection, nor with the length or the
+// body of the response before.
+TEST(HttpClient, CutResponseIsNeverWhole)
+{
+	const std::string body(120, 'b');
+	const std::string responses[] = {
+		OK + "X-A: b\r\nContent-Length: 120\r\n\r\n" + body,
+		"HTTP/1.1 100 x\r\n\r\n" + OK + "Content-Length: 12\r\n\r\n" +
+			body.substr(0, 12),
+		OK + TE + "\r\n78\r\n" + body + "\r\n0\r\n\r\n",
+		"HTTP/1.1 204 x\r\nX-A: b\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n"
+		"Content-Length: 12\r\n\r\n" +
+			body.substr(0, 12),
+	};
+
+	for (const auto &response : responses)
+		for (size_t end = 0; end < response.size(); end++)
+			for (bool kept : { false, true })
+				check_cut("POST", response, end, end % 3 == 0,
+					  kept);
+	for (size_t end = 0; end < responses[0].size() - 120; end++)
+		check_cut("HEAD", responses[0].substr(0, 62), end, false,
+			  false);
+	// Without a length the body ends with the connection, so that it could
+	// be cut anywhere.
+	for (const std::string &head :
+	     { OK + "\r\n", "HTTP/1.0 200 OK\r\n\r\n" + body,
+	       OK + "Connection: close\r\n\r\n" + body })
+		for (bool reset : { false, true })
+			check_cut("GET", head, head.size(), reset, false);
+}
+
 TEST(HttpClient, SendsHeadAndBody)
 {
 	Client c("POST");
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -485,6 +485,41 @@
 	EXPECT_EQ(0u, http_server_connections(s.server));
 }
 
+// A caller that stops in its request and closes: the rest must not be handled as
+// a request, with a shorter body or another length.
+TEST(HttpServer, CutRequestIsNotHandled)
+{
+	const std::string requests[] = {
+		"GET /a" + H + "X-A: b\r\n\r\n",
+		"POST /a" + H + "Content-Length: 120\r\n\r\n" +
+			std::string(120, 'b'),
+		"POST /a" + H + "Transfer-Encoding: chunked\r\n\r\n78\r\n" +
+			std::string(120, 'b') + "\r\n0\r\n\r\n",
+	};
+	Server s;
+	auto send = [&](const std::string &part) {
+		RawConn raw(s.net, s.address());
+
+		ASSERT_TRUE(s.net.until([&] {
+			return raw.opened && http_server_connections(s.server);
+		}));
+		raw.send(part);
+		loop_conn_close_after_send(raw.conn);
+		raw.conn = nullptr;
+		ASSERT_TRUE(s.net.until(
+			[&] { return !http_server_connections(s.server); }));
+	};
+
+	for (const auto &request : requests)
+		for (size_t end = 0; end < request.size(); end++)
+			send(request.substr(0, end));
+	EXPECT_TRUE(s.requests.empty()) << s.requests[0];
+	// Whole ones that are sent in this way are handled.
+	for (const auto &request : requests)
+		send(request);
+	EXPECT_EQ(3u, s.requests.size());
+}
+
 // Without an abort callback the exchange stays valid until the response.
 TEST(HttpServer, RespondAfterCallerDisconnected)
 {
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -244,6 +244,41 @@
             assert answer and answer.status in (502, 504), (fault, answer and answer.status)
 
 
+async def responses_cut_anywhere(cluster):
+    """A server stops after any number of bytes of its response, in the head, in the
+    digits of the length or in the body, and closes or resets the connection, which
+    may have carried other requests. The caller never gets a 2xx, nor, for a request
+    that is not idempotent, a promise that it was not run."""
+    entries, counts = cluster.names("entry"), {}
+    cases = [(kind, resets) for kind in ("length", "chunked", "bare", "informational")
+             for resets in (False, True)]
+    for number, (kind, resets) in enumerate(cases):
+        for server in cluster.servers.values():
+            server.fault, server.resets, server.cut_bytes = None, resets, 0
+        await asyncio.gather(*(cluster.request(entry, f"/read/{i}")
+                               for entry in entries for i in range(8)))
+        for server in cluster.servers.values():
+            server.fault = f"cut_{kind}"
+        length = number % 3
+        while length <= max(server.cut_bytes_max for server in cluster.servers.values()):
+            for server in cluster.servers.values():
+                server.cut_bytes = length
+            answers = await asyncio.gather(*(
+                cluster.request(entry, f"/{'read' if length % 4 == 3 else 'write'}/{length}",
+                                "GET" if length % 4 == 3 else "POST", b"x", deadline_ms=1000)
+                for entry in entries))
+            for answer in answers:
+                status = answer and answer.status
+                counts[status] = counts.get(status, 0) + 1
+                assert status in (502, 503, 504), (kind, resets, length, status)
+            length += 3
+    print(f"# statuses: {counts}", flush=True)
+    assert counts[502] > 100, counts
+    for server in cluster.servers.values():
+        server.fault = None
+    await cluster.wait("requests are served again", lambda: cluster.serves("entry-0"), 10)
+
+
 async def endless_responses(cluster):
     """Servers that send responses without end, several at once: each request fails
     with 502 or 504 in time, the memory of the instance stays bounded, and a request
@@ -301,7 +336,7 @@
              refusals_of_requests_without_id, stop_under_load,
              departures_and_withdrawals_survive_restart,
              malformed_messages, late_heartbeats_and_suspended_instance, lost_responses,
-             endless_responses, notices_of_departure_and_backoff]
+             responses_cut_anywhere, endless_responses, notices_of_departure_and_backoff]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
                           for case in cases if not chosen or case.__name__ in chosen])
