topo: Keep servers that entries of unknown services would displace

The process that started last owns an id and an address. Another writer's heartbeat of a service that the configuration does not name, with the id or the address of a server and a later "born", removed that server from the list; its own heartbeats were ignored as older ones as long as the others came, and it got no requests. The start that was claimed also counted as the end of the server at that address, which is what requests that crash servers are known by.

A server of a service that is not in the plan is still listed, since the next version may name it, but takes neither id nor address of one whose service is, and gives them up to such a one. A start counts only when the table has accepted the heartbeat. Without a plan nothing changes.

unnamed_services_displace_no_upstream (process_entries.py) failed before: "the server gets no requests any more". Topo.UnplannedServerTakesNoIdOrAddress tests the order.

--- a/almondward/control_cluster.c
+++ b/almondward/control_cluster.c
@@ -27,6 +27,17 @@
 	return NULL;
 }
 
+/*
+ * Until there is a plan, every upstream counts as planned.
+ */
+static bool is_planned(void *arg, const char *upstream)
+{
+	const struct ctl *ctl = arg;
+	const struct plan *plan = fleet_plan(ctl->fleet);
+
+	return !plan_version(plan) || plan_upstream(plan, upstream);
+}
+
 int ctl_cluster_create(struct ctl *ctl, const struct svc_adapter *adapter)
 {
 	struct ctl_cluster *cluster = calloc(1, sizeof(*cluster));
@@ -39,7 +50,10 @@
 			 ctl->settings->cluster.listen_control, cluster->self);
 	cluster->topo = topo_create(ctl->clk);
 	cluster->lists_version = 1;
-	return cluster->topo ? 0 : -1;
+	if (!cluster->topo)
+		return -1;
+	topo_set_planned(cluster->topo, is_planned, ctl);
+	return 0;
 }
 
 static void drop_heartbeats(struct ctl_cluster *cluster)
@@ -282,6 +296,20 @@
 			  "entry");
 }
 
+enum topo_heartbeat_result ctl_cluster_heartbeat(struct ctl *ctl,
+						 const Aw__Server *server)
+{
+	struct topo *topo = ctl->cluster->topo;
+	const struct topo_server *known = topo_find(topo, server->id);
+	bool is_start = !known || known->incarnation < server->incarnation;
+	enum topo_heartbeat_result result = topo_heartbeat(topo, server);
+
+	/* One that does not own its address says nothing about its owner. */
+	if (result == TOPO_ACCEPTED && is_start)
+		ctl_crashes_server_started(ctl, server);
+	return result;
+}
+
 static void receive_heartbeats(struct ctl *ctl,
 			       const Aw__Heartbeats *heartbeats)
 {
@@ -297,8 +325,7 @@
 		    fleet_has_departed(ctl->fleet, server->id,
 				       server->incarnation))
 			continue;
-		ctl_crashes_on_heartbeat(ctl, server);
-		topo_heartbeat(ctl->cluster->topo, server);
+		ctl_cluster_heartbeat(ctl, server);
 	}
 }
 
--- a/almondward/control_cluster.h
+++ b/almondward/control_cluster.h
@@ -96,6 +96,11 @@
 void ctl_cluster_on_ping(struct ctl *ctl, const Aw__Ping *ping);
 bool ctl_cluster_on_frame(struct ctl *ctl, struct peer_link *link,
 			  const Aw__Frame *frame);
+/*
+ * Passes a heartbeat that topo_is_valid() accepts to the table. For the leader.
+ */
+enum topo_heartbeat_result ctl_cluster_heartbeat(struct ctl *ctl,
+						 const Aw__Server *server);
 /* Call after an operation was applied. */
 void ctl_cluster_on_applied(struct ctl *ctl, const Aw__LogEntry *entry,
 			    const Aw__Op *op, const Aw__OpResult *result);
@@ -124,8 +129,8 @@
 int ctl_crashes_begin_term(struct ctl *ctl);
 void ctl_crashes_tick(struct ctl *ctl);
 void ctl_crashes_on_reports(struct ctl *ctl, const Aw__CrashNews *news);
-/* Call for each heartbeat, before topo_heartbeat(). */
-void ctl_crashes_on_heartbeat(struct ctl *ctl, const Aw__Server *server);
+/* Call for the first heartbeat of each process. */
+void ctl_crashes_server_started(struct ctl *ctl, const Aw__Server *server);
 uint64_t ctl_crashes_version(const struct ctl *ctl);
 /* Adds the quarantine list to a feed. Returns -1 when memory is exhausted. */
 int ctl_crashes_fill_feed(struct ctl *ctl, Aw__Feed *feed);
--- a/almondward/control_crashes.c
+++ b/almondward/control_crashes.c
@@ -278,13 +278,9 @@
 				      news->answers[i]->age_ms);
 }
 
-void ctl_crashes_on_heartbeat(struct ctl *ctl, const Aw__Server *server)
+void ctl_crashes_server_started(struct ctl *ctl, const Aw__Server *server)
 {
-	const struct topo_server *known =
-		topo_find(ctl->cluster->topo, server->id);
-
-	if (ctl->cluster->quar &&
-	    (!known || known->incarnation < server->incarnation))
+	if (ctl->cluster->quar)
 		quar_server_started(ctl->cluster->quar, server->address,
 				    server->incarnation);
 }
--- a/almondward/control_service.c
+++ b/almondward/control_service.c
@@ -385,8 +385,7 @@
 			      "no leader can be reached");
 		return;
 	}
-	ctl_crashes_on_heartbeat(ctl, server);
-	if (topo_heartbeat(ctl->cluster->topo, server) == TOPO_ERR_MEMORY) {
+	if (ctl_cluster_heartbeat(ctl, server) == TOPO_ERR_MEMORY) {
 		event_log(EVENT_HEARTBEAT, "server=%s reason=memory",
 			  server->id);
 		respond_error(ctl, exchange, 503, "memory", "out of memory");
--- a/almondward/topo.c
+++ b/almondward/topo.c
@@ -54,6 +54,8 @@
 	const Aw__Instance **list; /* the messages of the array instances */
 	size_t nr_instances;
 	uint64_t instances_version;
+	bool (*is_planned)(void *arg, const char *upstream); /* NULL: all are */
+	void *planned_arg;
 };
 
 static uint64_t now_ms(const struct topo *topo)
@@ -108,6 +110,20 @@
 	free(topo);
 }
 
+void topo_set_planned(struct topo *topo,
+		      bool (*is_planned)(void *arg, const char *upstream),
+		      void *arg)
+{
+	topo->is_planned = is_planned;
+	topo->planned_arg = arg;
+}
+
+static bool is_planned(const struct topo *topo, const char *upstream)
+{
+	return !topo->is_planned ||
+	       topo->is_planned(topo->planned_arg, upstream);
+}
+
 static struct server_entry *find_server(const struct topo *topo, const char *id)
 {
 	struct server_entry *entry;
@@ -194,9 +210,26 @@
 }
 
 /*
- * Removes other servers at the address of a heartbeat: addresses are reused,
- * and the process that started last owns the address. Returns false if the
- * sender is not that process.
+ * Compares the claims of a heartbeat and of a table entry to the same id or
+ * address: positive if the heartbeat's is better. The process that started last
+ * owns them, but one of an upstream that is not planned never displaces one that
+ * requests are sent to.
+ */
+static int compare_claims(const struct topo *topo, const Aw__Server *from,
+			  const struct topo_server *server)
+{
+	bool planned = is_planned(topo, from->upstream);
+
+	if (is_planned(topo, server->upstream) != planned)
+		return planned ? 1 : -1;
+	if (from->incarnation != server->incarnation)
+		return from->incarnation > server->incarnation ? 1 : -1;
+	return 0;
+}
+
+/*
+ * Removes other servers at the address of a heartbeat: addresses are reused.
+ * Returns false if the sender does not own it.
  */
 static bool evict_from_address(struct topo *topo, const Aw__Server *from)
 {
@@ -207,7 +240,7 @@
 		if (strcmp(entry->server.address, from->address) != 0 ||
 		    !strcmp(entry->server.id, from->id))
 			continue;
-		if (entry->server.incarnation > from->incarnation)
+		if (compare_claims(topo, from, &entry->server) < 0)
 			return false;
 		remove_server(topo, entry);
 	}
@@ -275,13 +308,14 @@
 	struct topo_server *server;
 	struct server_entry *entry;
 	bool is_changed;
+	int claim;
 
 	if (!topo_is_valid(from))
 		return TOPO_INVALID;
 	entry = find_server(topo, from->id);
-	if (entry && (from->incarnation < entry->server.incarnation ||
-		      (from->incarnation == entry->server.incarnation &&
-		       from->sequence <= entry->server.sequence)))
+	claim = entry ? compare_claims(topo, from, &entry->server) : 1;
+	if (claim < 0 ||
+	    (claim == 0 && from->sequence <= entry->server.sequence))
 		return TOPO_STALE;
 	if (!evict_from_address(topo, from))
 		return TOPO_STALE;
--- a/almondward/topo.h
+++ b/almondward/topo.h
@@ -49,7 +49,11 @@
 
 enum topo_heartbeat_result {
 	TOPO_ACCEPTED,
-	TOPO_STALE, /* older than the table entry; the table is unchanged */
+	/*
+	 * Older than the table entry, or of an upstream that is not planned,
+	 * unlike that of the entry; the table is unchanged.
+	 */
+	TOPO_STALE,
 	TOPO_INVALID, /* a field is missing or out of range */
 	TOPO_ERR_MEMORY
 };
@@ -60,6 +64,16 @@
 struct topo *topo_create(struct clk *clk);
 void topo_destroy(struct topo *topo);
 
+/*
+ * Sets the function that tells whether the plan has an upstream. A server of an
+ * upstream that it does not have is listed, as the plan may have it later, but
+ * never takes the id or the address of one that it has. Without this function
+ * every upstream counts as planned.
+ */
+void topo_set_planned(struct topo *topo,
+		      bool (*is_planned)(void *arg, const char *upstream),
+		      void *arg);
+
 /* ---- leader ---- */
 
 /*
--- a/tests/process_entries.py
+++ b/tests/process_entries.py
@@ -179,6 +179,30 @@
     assert len(server.arrivals) > before, "the server gets no requests any more"
 
 
+async def unnamed_services_displace_no_upstream(cluster):
+    """Heartbeats of a service that the configuration does not name, with the id or the
+    address of a server and a later start: the server keeps getting requests."""
+    server = cluster.servers["server-0"]
+    callers = Callers(cluster, "entry-0")
+    end, sequence = time.monotonic() + 4, 0
+    while time.monotonic() < end:
+        sequence += 1000
+        body = json.dumps({"service": "unnamed", "address": server.address, "zone": server.zone,
+                           "concurrency": 8, "state": "ready", "sequence": sequence,
+                           "born": server.born + 60000}).encode()
+        for name in ("odd", server.name):
+            for address in cluster.control_order():
+                answer = await clusterlib.call(address, "PUT", f"/api/instances/{name}", None,
+                                               body, 1.0)
+                assert answer and answer.status < 500, answer and answer.status
+        await asyncio.sleep(0.1)
+    before = len(server.arrivals)
+    await asyncio.sleep(1)
+    await callers.check()
+    check_processes(cluster)
+    assert len(server.arrivals) > before, "the server gets no requests any more"
+
+
 async def large_heartbeats_displace_no_others(cluster):
     """A control instance that is not the leader forwards heartbeats together. Some of
     several megabytes must not keep it from forwarding the others: the servers, all
@@ -291,7 +315,10 @@
 def main():
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream, large_heartbeats_displace_no_others, restart_with_odd_entries_in_the_log, odd_configurations_are_refused, long_route_names_keep_their_weights]
+    cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream,
+             unnamed_services_displace_no_upstream, large_heartbeats_displace_no_others,
+             restart_with_odd_entries_in_the_log, odd_configurations_are_refused,
+             long_route_names_keep_their_weights]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
                           for case in cases if not chosen or case.__name__ in chosen])
--- a/tests/topo_test.cc
+++ b/tests/topo_test.cc
@@ -1,5 +1,6 @@
 // Tests the table of servers: delayed and reordered heartbeats, reused
 // addresses, silent servers, and feeds to followers.
+#include <cstring>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -75,6 +76,46 @@
 	EXPECT_NE(nullptr, topo_find(topo, "new"));
 }
 
+// Another writer's entry of a service that no plan names must not displace a
+// server that requests are sent to, whenever it claims to have started.
+TEST_F(Topo, UnplannedServerTakesNoIdOrAddress)
+{
+	auto unplanned = [&](const char *id, uint64_t incarnation) {
+		Aw__Server server = AW__SERVER__INIT;
+
+		server.id = (char *)id;
+		server.upstream = (char *)"unnamed";
+		server.address = (char *)"10.0.0.1:80";
+		server.zone = (char *)"z1";
+		server.slots = 4;
+		server.incarnation = incarnation;
+		server.sequence = 1000;
+		return topo_heartbeat(topo, &server);
+	};
+
+	EXPECT_EQ(TOPO_ACCEPTED, heartbeat("s1", 10, 1));
+	EXPECT_EQ(TOPO_ACCEPTED, unplanned("odd", 20)) << "all are planned";
+	topo_set_planned(
+		topo,
+		[](void *, const char *upstream) {
+			return !strcmp(upstream, "u");
+		},
+		nullptr);
+	// A planned one takes both back.
+	EXPECT_EQ(TOPO_ACCEPTED, heartbeat("s1", 10, 2));
+	EXPECT_EQ(nullptr, topo_find(topo, "odd"));
+	EXPECT_EQ(TOPO_STALE, unplanned("odd", 20));
+	EXPECT_EQ(TOPO_STALE, unplanned("s1", 20));
+	EXPECT_STREQ("u", topo_find(topo, "s1")->upstream);
+	EXPECT_EQ(TOPO_ACCEPTED, heartbeat("s1", 10, 3));
+	EXPECT_EQ(TOPO_STALE, heartbeat("s1", 10, 3));
+	EXPECT_EQ(TOPO_STALE, heartbeat("s0", 9, 4));
+	topo_leave(topo, "s1", 10);
+	EXPECT_EQ(TOPO_ACCEPTED, unplanned("s1", 20));
+	EXPECT_EQ(TOPO_ACCEPTED, heartbeat("s1", 10, 4));
+	EXPECT_STREQ("u", topo_find(topo, "s1")->upstream);
+}
+
 TEST_F(Topo, InvalidHeartbeatAddsNoServer)
 {
 	EXPECT_EQ(TOPO_INVALID, heartbeat("", 1, 1));
