tests: Odd operations, plans and announcements

Plan.FollowersTakeOddPlans: a plan that this version would refuse, from a leader of another one, is taken, with unknown kinds, empty and long names and routes without parts.

--- a/tests/fleet_service_test.cc
+++ b/tests/fleet_service_test.cc
@@ -122,6 +122,50 @@
 	fleet_destroy(loaded);
 }
 
+// Operations with odd values, also such that earlier versions recorded, must not
+// end the instances that apply them: apply() expects no error. A snapshot with
+// them can be loaded, and the next operation is applied.
+TEST_F(FleetService, OddOperationsAreRefusedOrApplied)
+{
+	const std::string names[] = { "",
+				      std::string(NAME_BYTES_MAX, 'n'),
+				      std::string(100000, 'n'),
+				      "a b",
+				      "a\nb",
+				      "\xff\xfe",
+				      "\x7f" };
+	struct buf packed = BUF_INIT;
+	struct fleet *loaded = fleet_create();
+	Aw__Op empty = AW__OP__INIT;
+
+	for (const auto &name : names) {
+		EXPECT_EQ(AW__OP_CODE__OP_INVALID, set_zone(name.c_str(), true))
+			<< name.substr(0, 80);
+		set_zone(name.c_str(), false);
+		EXPECT_EQ(AW__OP_CODE__OP_INVALID,
+			  record_departure(name.c_str(), 1))
+			<< name.substr(0, 80);
+	}
+	record_departure("s1", UINT64_MAX);
+	record_departure("s1", 5);
+	EXPECT_TRUE(fleet_has_departed(fleet, "s1", UINT64_MAX));
+	record_departure("s2", 0);
+	EXPECT_EQ(AW__OP_CODE__OP_DONE, change_plan(0, UINT64_MAX));
+	EXPECT_EQ(AW__OP_CODE__OP_INVALID, change_plan(UINT64_MAX, 3));
+	EXPECT_EQ(AW__OP_CODE__OP_VERSION_CONFLICT, change_plan(3, 4));
+	apply(empty);
+	for (int i = 0; i < 100; i++)
+		set_zone(("z" + std::to_string(i)).c_str(), true);
+	ASSERT_EQ(FLEET_OK, fleet_pack(fleet, &packed));
+	ASSERT_EQ(FLEET_OK, fleet_load(loaded, packed.data, packed.len_bytes));
+	std::swap(fleet, loaded);
+	EXPECT_EQ(64u, nr_zones());
+	EXPECT_EQ(UINT64_MAX, plan_version(fleet_plan(fleet)));
+	EXPECT_EQ(AW__OP_CODE__OP_DONE, set_zone("z1", false));
+	buf_release(&packed);
+	fleet_destroy(loaded);
+}
+
 class FleetQuarantine : public FleetService
 {
 protected:
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -258,6 +258,45 @@
 	plan_destroy(follower);
 }
 
+// A leader of another version may send a plan that this version would refuse. An
+// entry instance must take it, and find the routes that it can use.
+TEST_F(Plan, FollowersTakeOddPlans)
+{
+	struct plan *follower = plan_create();
+	Aw__PlanChange nothing = AW__PLAN_CHANGE__INIT;
+	Change odd(0, 1);
+
+	odd.upstream("u1");
+	odd.upstream("u1");
+	odd.upstream("");
+	odd.upstream(std::string(5000, 'u'));
+	odd.route("", "", "", "");
+	odd.route("r1", "a.example", "/x/", "u1");
+	odd.route("r2", "a.example", "/y/", "nobody").kind =
+		(Aw__RequestKind)99;
+	odd.route("r3", std::string(5000, 'h'), "/", "u1");
+	odd.route(std::string(5000, 'r'), "a.example", "/x/", "u1");
+	odd.route("r4", "a.example", "/z/", "u1").n_parts = 0;
+	odd.parts[1].weight = UINT32_MAX;
+	odd.customer("", "");
+	odd.customer(std::string(5000, 'c'), "k1");
+	odd.customer("c1", "k1");
+	odd.message.index = 1;
+	odd.finish();
+	ASSERT_EQ(0, plan_apply_accepted(follower, &odd.message));
+	for (uint64_t at = 2; at < 4; at++) {
+		nothing.index = at;
+		ASSERT_EQ(0, plan_apply_accepted(follower, &nothing));
+	}
+	ASSERT_NE(nullptr, plan_route(follower, "a.example", "/x/1"));
+	EXPECT_STREQ("r1", plan_route(follower, "a.example", "/x/1")->name);
+	EXPECT_STREQ("r4", plan_route(follower, "A.example:80", "/z/1")->name);
+	EXPECT_EQ(nullptr, plan_route(follower, "b.example", "/x/1"));
+	EXPECT_NE(nullptr, plan_upstream(follower, "u1"));
+	EXPECT_NE(nullptr, plan_customer_by_key(follower, "k1"));
+	plan_destroy(follower);
+}
+
 TEST_F(Plan, DigestsSurviveASnapshot)
 {
 	std::vector<ProtobufCBinaryData> digests(PLAN_DIGESTS_MAX);
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -119,6 +119,36 @@
 	}
 }
 
+// One odd entry must change nothing but itself.
+TEST_F(RegCase, OddEntriesAreRefused)
+{
+	const uint64_t version = reg_version(reg);
+
+	EXPECT_EQ(REG_ERR_INVALID, server("", 1, 1));
+	EXPECT_EQ(REG_ERR_INVALID, server("10.0.0.1:1", 0, 1));
+	EXPECT_EQ(REG_ERR_INVALID, server("", 1, 1, true));
+	EXPECT_EQ(REG_ERR_INVALID,
+		  server(std::string(5000, '1').c_str(), 1, 1));
+	EXPECT_EQ(REG_ERR_STALE, server("10.0.0.1:1", 1, 1, false, UINT32_MAX));
+	for (uint32_t slots : { 0u, REG_SLOTS_MAX + 1u, UINT32_MAX }) {
+		Aw__Server msg = AW__SERVER__INIT;
+
+		msg.upstream = (char *)"u";
+		msg.zone = (char *)"z";
+		msg.address = (char *)"10.0.0.1:1";
+		msg.incarnation = 1;
+		msg.slots = slots;
+		EXPECT_EQ(REG_ERR_INVALID, reg_update_server(reg, &msg));
+	}
+	EXPECT_EQ(REG_ERR_INVALID, report("", 1, 1));
+	EXPECT_EQ(REG_ERR_INVALID, report("e1", 0, 1));
+	EXPECT_EQ(version, reg_version(reg));
+	EXPECT_EQ(REG_OK, server("10.0.0.1:1", UINT64_MAX, UINT64_MAX));
+	EXPECT_EQ(REG_OK, server("10.0.0.2:1", 1, 1));
+	reg_tick(reg);
+	EXPECT_NE(nullptr, reg_find_server(reg, "10.0.0.2:1"));
+}
+
 // A delayed announcement must not reactivate a server that has left.
 TEST_F(RegCase, LeaveIsFinalForItsIncarnation)
 {
