loop, settings: Local address of outgoing connections

A process on a host with several addresses connects from whichever the system chooses, so a server cannot tell two instances apart by their address. The optional setting connect_from of the "cluster" table names the address; without it nothing is bound, as before. It applies to connections and probes. A text that is no IP address is an error of the settings file, and an address that the machine does not have stops the start.

The tests of partitions need it: their simulated servers run in one process and drop the packets of chosen instances.

Loop.ConnectsFromTheSource and SettingsCluster.LocalAddressOfConnections pass.

--- a/almondward/control.c
+++ b/almondward/control.c
@@ -1,5 +1,6 @@
 #include "control_cluster.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -571,6 +572,8 @@
 
 static int open_all(struct ctl *ctl)
 {
+	const char *connect_from = ctl->settings->cluster.connect_from;
+
 	if (sodium_init() < 0)
 		return -1;
 	ctl->self = ctl->settings->name;
@@ -581,6 +584,11 @@
 	ctl->loop = loop_create(ctl->clk);
 	if (!ctl->loop)
 		return -1;
+	if (*connect_from && loop_set_source(ctl->loop, connect_from)) {
+		log_error("control", "cannot connect from %s: %s", connect_from,
+			  strerror(errno));
+		return -1;
+	}
 	ctl->tick_timer = loop_timer_create(ctl->loop, tick, ctl);
 	ctl->flush_timer = loop_timer_create(ctl->loop, flush, ctl);
 	if (!ctl->tick_timer || !ctl->flush_timer ||
--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway_internal.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -273,6 +274,12 @@
 			cluster->memory_bytes / RESPONSE_MEMORY_DIVISOR :
 			RESPONSE_MEMORY_BYTES;
 	loop_set_link_rate(gw->loop, cluster->bounds.link_kbit_per_s);
+	if (*cluster->connect_from &&
+	    loop_set_source(gw->loop, cluster->connect_from)) {
+		log_error("gateway", "cannot connect from %s: %s",
+			  cluster->connect_from, strerror(errno));
+		return -1;
+	}
 	gw->tick_timer = loop_timer_create(gw->loop, tick, gw);
 	if (!gw->tick_timer || open_state(gw) ||
 	    open_server(gw, cluster->listen_callers, gw_on_request,
--- a/almondward/loop.c
+++ b/almondward/loop.c
@@ -97,6 +97,50 @@
 	pace_init(&loop->pace, rate_kbit_per_s);
 }
 
+static int bind_source(const union loop_sockaddr *source, int fd)
+{
+	socklen_t len = source->any.sa_family == AF_INET ? sizeof(source->in) :
+							   sizeof(source->in6);
+	int on = 1;
+
+	/* The port is chosen by connect(), as without bind(). */
+	if (setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on,
+		       sizeof(on)))
+		return -1;
+	return bind(fd, &source->any, len);
+}
+
+int loop_open_socket(const struct loop *loop, int family)
+{
+	int fd = socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int cause;
+
+	if (fd < 0 || loop->source.any.sa_family != family ||
+	    !bind_source(&loop->source, fd))
+		return fd;
+	cause = errno;
+	close(fd);
+	errno = cause;
+	return -1;
+}
+
+enum loop_error loop_set_source(struct loop *loop, const char *ip)
+{
+	char address[ADDRESS_BYTES_MAX];
+	socklen_t len;
+	int fd;
+
+	snprintf(address, sizeof(address), strchr(ip, ':') ? "[%s]:0" : "%s:0",
+		 ip);
+	if (loop_parse_address(address, &loop->source, &len))
+		return LOOP_ERR_ADDRESS;
+	fd = loop_open_socket(loop, loop->source.any.sa_family);
+	if (fd < 0)
+		return LOOP_ERR_SYSTEM;
+	close(fd);
+	return LOOP_OK;
+}
+
 void loop_run(struct loop *loop)
 {
 	loop->stopped = false;
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -47,6 +47,13 @@
  */
 void loop_set_link_rate(struct loop *loop, uint32_t rate_kbit_per_s);
 
+/*
+ * Connects from this local IP address to addresses of the same family. Returns
+ * LOOP_ERR_ADDRESS if ip is not an IP address, and LOOP_ERR_SYSTEM if the
+ * machine does not have it.
+ */
+enum loop_error loop_set_source(struct loop *loop, const char *ip);
+
 /*
  * Closes all connections and listeners without calling any callback.
  */
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -252,8 +252,7 @@
 	err = loop_parse_address(address, &sa, &len);
 	if (err)
 		return err;
-	fd = socket(sa.any.sa_family,
-		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	fd = loop_open_socket(loop, sa.any.sa_family);
 	if (fd < 0)
 		return LOOP_ERR_SYSTEM;
 	failed = connect(fd, &sa.any, len) && errno != EINPROGRESS;
--- a/almondward/loop_private.h
+++ b/almondward/loop_private.h
@@ -13,6 +13,12 @@
 
 #define LOOP_LOG_COMPONENT "loop"
 
+union loop_sockaddr {
+	struct sockaddr any;
+	struct sockaddr_in in;
+	struct sockaddr_in6 in6;
+};
+
 struct loop {
 	struct clk *clk;
 	struct ev_loop *ev;
@@ -20,6 +26,7 @@
 	struct loop_conn *conns;
 	struct loop_listener *listeners;
 	struct pace pace; /* send rate of large bodies */
+	union loop_sockaddr source; /* of connections, AF_UNSPEC: any */
 	ev_signal sigterm;
 	ev_signal sigint;
 	void (*stop_fn)(void *arg);
@@ -42,12 +49,6 @@
 	int64_t armed_us; /* due time of the watcher, 0: not started */
 };
 
-union loop_sockaddr {
-	struct sockaddr any;
-	struct sockaddr_in in;
-	struct sockaddr_in6 in6;
-};
-
 /*
  * Parses "IP:port" or "[IP6]:port". Returns LOOP_OK or LOOP_ERR_ADDRESS.
  */
@@ -56,6 +57,12 @@
 void loop_format_address(const union loop_sockaddr *sa, char *out,
 			 size_t out_bytes);
 
+/*
+ * Opens a non-blocking TCP socket that connects to this family from the address
+ * set with loop_set_source(). Returns -1 on failure, with the cause in errno.
+ */
+int loop_open_socket(const struct loop *loop, int family);
+
 /*
  * For a timer that is embedded in another struct.
  */
--- a/almondward/loop_probe.c
+++ b/almondward/loop_probe.c
@@ -80,8 +80,7 @@
 	new->loop = loop;
 	new->fn = fn;
 	new->arg = arg;
-	new->fd = socket(sa.any.sa_family,
-			 SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	new->fd = loop_open_socket(loop, sa.any.sa_family);
 	if (new->fd < 0) {
 		free(new);
 		return LOOP_ERR_SYSTEM;
--- a/almondward/settings.h
+++ b/almondward/settings.h
@@ -4,6 +4,7 @@
 #ifndef SETTINGS_H
 #define SETTINGS_H
 
+#include <netinet/in.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -79,6 +80,8 @@
 	char listen_control[ADDRESS_BYTES_MAX];
 	char listen_directory[ADDRESS_BYTES_MAX];
 	char listen_metrics[ADDRESS_BYTES_MAX];
+	/* IP address that outgoing connections have, "": any */
+	char connect_from[INET6_ADDRSTRLEN];
 	uint64_t memory_bytes; /* limit for the process, 0: no limit */
 	struct set_bounds bounds;
 };
--- a/almondward/settings_cluster.c
+++ b/almondward/settings_cluster.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,7 @@
 	F_REGION,
 	F_REGIONS,
 	F_LISTEN,
+	F_CONNECT_FROM,
 	F_MEMORY_MB,
 	F_BOUNDS,
 	NR_FIELDS
@@ -28,7 +30,7 @@
 	[F_PEER_PORT] = "peer_port", [F_BOOTSTRAP] = "bootstrap",
 	[F_REGION] = "region",	     [F_REGIONS] = "regions",
 	[F_LISTEN] = "listen",	     [F_MEMORY_MB] = "memory_mb",
-	[F_BOUNDS] = "bounds",
+	[F_BOUNDS] = "bounds",	     [F_CONNECT_FROM] = "connect_from",
 };
 
 /*
@@ -174,6 +176,36 @@
 	return true;
 }
 
+static bool is_unspecified(const struct in6_addr *address, int family)
+{
+	return family == AF_INET ? !address->s6_addr32[0] :
+				   IN6_IS_ADDR_UNSPECIFIED(address);
+}
+
+static bool read_connect_from(struct set_reader *reader,
+			      const yaml_node_t *node)
+{
+	struct set_cluster *cluster = &reader->settings->cluster;
+	struct in6_addr address = IN6ADDR_ANY_INIT;
+	const char *text;
+	int family;
+
+	if (is_absent_or_empty(node))
+		return true;
+	if (!doc_string(&reader->doc, node, "cluster.connect_from", &text))
+		return false;
+	family = strchr(text, ':') ? AF_INET6 : AF_INET;
+	if (inet_pton(family, text, &address) != 1 ||
+	    is_unspecified(&address, family))
+		return doc_fail(&reader->doc, doc_line(node),
+				"cluster.connect_from is \"%.64s\", must be "
+				"an IP address of this machine without a port",
+				text);
+	snprintf(cluster->connect_from, sizeof(cluster->connect_from), "%s",
+		 text);
+	return true;
+}
+
 static bool read_seeds(struct set_reader *reader, const yaml_node_t *node)
 {
 	struct set_cluster *cluster = &reader->settings->cluster;
@@ -292,6 +324,7 @@
 	       read_seeds(reader, values[F_SEEDS]) &&
 	       read_regions(reader, values[F_REGIONS]) &&
 	       read_listen(reader, values[F_LISTEN]) &&
+	       read_connect_from(reader, values[F_CONNECT_FROM]) &&
 	       read_bounds(reader, values[F_BOUNDS]) &&
 	       check_role(reader, node);
 }
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -27,6 +27,7 @@
   region: {region}
   regions: {{a1: ra, a2: ra, b1: rb}}
   listen: {{callers: "{ip}:{callers}", ready: "{ip}:{ready}", metrics: "{ip}:{metrics}"}}
+  connect_from: "{ip}"
   memory_mb: 160
   bounds: {{link_mbit_per_s: {link_mbit}}}
 """
--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -105,6 +105,23 @@
 	return probed.result;
 }
 
+// A server that tells its peers apart by their address must see the one that
+// the settings name, also from a probe.
+TEST(Loop, ConnectsFromTheSource)
+{
+	Net net;
+	RawServer server(net);
+
+	EXPECT_EQ(LOOP_ERR_ADDRESS, loop_set_source(net.loop, "127.0.0.300"));
+	EXPECT_EQ(LOOP_ERR_SYSTEM, loop_set_source(net.loop, "192.0.2.1"));
+	ASSERT_EQ(LOOP_OK, loop_set_source(net.loop, "127.0.0.9"));
+	RawConn raw(net, server.address());
+	ASSERT_TRUE(net.until([&] { return server.accepted == 1; }));
+	EXPECT_EQ(0, strncmp("127.0.0.9:", loop_conn_peer(server.last.conn),
+			     strlen("127.0.0.9:")));
+	EXPECT_EQ(LOOP_PROBE_ACCEPTED, probe(net, server.address(), 1000));
+}
+
 // A probe must distinguish a process that has exited from one that still runs
 // and from a host that is down.
 TEST(Loop, ProbeChecksWhetherAnythingListens)
--- a/tests/settings_cluster_test.cc
+++ b/tests/settings_cluster_test.cc
@@ -65,6 +65,24 @@
 	EXPECT_EQ(150u, settings.cluster.bounds.shift_permille);
 	// A name without a value has its default.
 	EXPECT_EQ(6000u, settings.cluster.bounds.grace_ms);
+	EXPECT_STREQ("", settings.cluster.connect_from);
+}
+
+TEST_F(SettingsCluster, LocalAddressOfConnections)
+{
+	for (std::string ip : { "10.0.0.3", "fd00::3" }) {
+		ASSERT_EQ(SET_OK,
+			  load(good + "  connect_from: \"" + ip + "\"\n"))
+			<< cause;
+		EXPECT_EQ(ip, settings.cluster.connect_from);
+	}
+	for (std::string bad : { "10.0.0.3:80", "[fd00::3]", "10.0.0",
+				 "0.0.0.0", "::", "eth0" }) {
+		EXPECT_EQ(SET_ERR_INVALID,
+			  load(good + "  connect_from: \"" + bad + "\"\n"));
+		EXPECT_NE(nullptr, strstr(cause, "connect_from")) << cause;
+		EXPECT_NE(nullptr, strstr(cause, bad.c_str())) << cause;
+	}
 }
 
 TEST_F(SettingsCluster, ErrorsNameTheSetting)
