tests: Entry instances that reach no backend server (known red)

Callers ask the directory and keep its answer and their connections as those of the platform do. The simulated servers drop the packets of chosen instances with a socket filter, reset their connections, or refuse new ones.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -5,10 +5,14 @@
 starts each instance and terminates it by its process id.
 """
 import asyncio
+import ctypes
+import ipaddress
 import json
 import pathlib
 import random
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -87,6 +91,45 @@
     return most
 
 
+# Values of <linux/socket.h> and <linux/filter.h> that the socket module lacks.
+SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
+SOURCE_ADDRESS = (-0x100000 + 12) & 0xffffffff  # SKF_NET_OFF + offset in the IPv4 header
+
+
+def drop_packets(sock, sources):
+    """Makes a TCP socket drop all packets from these IPv4 addresses, as a socket
+    filter does (see socket(7)). Connections that it accepts inherit the filter."""
+    load_word, jump_if_equal, give = 0x20, 0x15, 0x06
+    program = [(load_word, 0, 0, SOURCE_ADDRESS)]
+    for i, source in enumerate(sources):
+        program.append((jump_if_equal, len(sources) - i, 0, int(ipaddress.IPv4Address(source))))
+    program += [(give, 0, 0, 0xffffffff), (give, 0, 0, 0)]
+    code = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *i) for i in program))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
+                    struct.pack("HP", len(program), ctypes.addressof(code)))
+
+
+def take_packets(sock):
+    """Ends drop_packets()."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+    except OSError:
+        pass  # it has no filter, or is closed
+
+
+def reset_connection(writer):
+    """Closes a connection with a reset."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                               struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def peer_ip(writer):
+    peer = writer.get_extra_info("peername")  # None if it was closed before the accept
+    return peer[0] if peer else ""
+
+
 class Answer:
     def __init__(self, status, headers, body):
         self.status, self.headers, self.body = status, headers, body
@@ -157,6 +200,9 @@
         self.first_notice = None  # when the "leaves" notice was first sent
         self.limit = None         # sent in responses: a number, a text, or none
         self.arrivals = []        # when each request arrived
+        self.sources = {}         # request id: IP address that it arrived from last
+        self.cut = None           # see cut_off()
+        self.cut_sources = set()  # IP addresses that are cut off
         self.last_arrival = 0.0   # when the last request arrived
         self.paused_at = None     # when the current backoff was requested
         self.within_pause = 0     # requests received 0.5 to 3 s after that
@@ -252,7 +298,51 @@
                 await self.send_heartbeat()
             await asyncio.sleep(0.5)
 
+    async def cut_off(self, sources, kind):
+        """Cuts the links to the instances with these IP addresses until join():
+
+        silent      packets from them are dropped, and responses to them are held
+                    back; requests in progress go on
+        reset       the same, and open connections are reset at the beginning
+        refuse_new  open connections live on, and new ones are reset when accepted
+        closed      open connections are reset, and new ones are refused; for all
+                    instances only
+        """
+        self.cut, self.cut_sources = kind, set(sources)
+        affected = [w for w in self.writers if peer_ip(w) in self.cut_sources]
+        if kind in ("silent", "reset"):
+            for sock in self.server.sockets:
+                drop_packets(sock, sources)
+        if kind == "closed":
+            self.server.close()
+        for writer in affected:
+            if kind in ("reset", "closed"):
+                reset_connection(writer)
+            elif kind == "silent":
+                drop_packets(writer.get_extra_info("socket"), sources)
+
+    async def join(self):
+        """Ends cut_off(): responses that were held back are sent."""
+        kind, self.cut, self.cut_sources = self.cut, None, set()
+        if kind == "closed":
+            self.server = await asyncio.start_server(self.serve_connection, self.ip, self.port)
+        for sock in self.server.sockets:
+            take_packets(sock)
+        for writer in self.writers:
+            take_packets(writer.get_extra_info("socket"))
+
+    async def until_joined(self, writer):
+        """Waits while responses on this connection are held back."""
+        while (self.cut in ("silent", "reset") and peer_ip(writer) in self.cut_sources
+               and not writer.is_closing()):
+            await asyncio.sleep(0.01)
+
     async def serve_connection(self, reader, writer):
+        if self.cut == "refuse_new" and peer_ip(writer) in self.cut_sources:
+            reset_connection(writer)
+            return
+        if peer_ip(writer) not in self.cut_sources:
+            take_packets(writer.get_extra_info("socket"))
         self.writers.add(writer)
         try:
             while True:
@@ -292,6 +382,7 @@
             await self.hang()
         self.last_arrival = time.monotonic()
         self.arrivals.append(self.last_arrival)
+        self.sources[request_id] = peer_ip(writer)
         if self.notice == "pause":
             return self.refuse_with_backoff(writer, request_id)
         if self.fault and self.fault.startswith(("endless", "one_byte")):
@@ -318,6 +409,7 @@
         self.in_flight += 1
         await asyncio.sleep(self.work_s)
         self.in_flight -= 1
+        await self.until_joined(writer)
         if self.fault == "hang":
             await asyncio.sleep(30)
         if self.fault == "reset":
@@ -475,6 +567,29 @@
         self.servers[name] = server
         return server
 
+    async def cut(self, entries, kind, servers=None):
+        """Cuts the links between entry instances and servers (all if None), see
+        Server.cut_off()."""
+        for server in servers or self.servers.values():
+            await server.cut_off([self.instances[e][0] for e in entries], kind)
+
+    async def join(self):
+        """Joins all links that were cut."""
+        for server in self.servers.values():
+            if server.cut:
+                await server.join()
+
+    async def look_up(self, zone, address):
+        """Asks one directory for entry instances as a caller in this zone does.
+        Returns their names and the lifetime in seconds, or None."""
+        answer = await call(address, "GET", f"/api/resolve?name=t.example&region={ZONES[zone]}"
+                            f"&zone={zone}", timeout_s=1.0)
+        if not answer or answer.status != 200:
+            return None
+        result = answer.json()
+        names = {self.address(n, "callers"): n for n in self.names("entry")}
+        return [names[a] for a in result["addresses"]], result["ttlS"]
+
     async def put_config(self, config=None, base=0):
         """Replaces the plan of version `base`. Returns None if no instance took it."""
         body = json.dumps(config or CONFIG).encode()
