topo, directory: Look-ups omit instances that reach no backend server

Callers keep coming to an entry instance that has lost its links to the servers, because the directory names it as long as its link to the leader is up, and are served far worse there than elsewhere.

An Instance has a flag for this state now. The leader takes it from Subscribe as it takes the state of a leaving instance, a change of it is a change of the list of instances, so it goes out with the next feed (10 ms), and look-ups leave the instance out: callers get the others of the region, or those of other regions when the region has none. If all active instances say that they reach no server, nothing is gained by omitting them, and look-ups are as before. An instance of an earlier version never sets the flag, and a leader of an earlier version ignores it.

Topo.LostServersOfAnInstanceAreFed, Directory.InstanceWithoutServersIsNotListed and Directory.ZoneOfALargeRegionWithoutServers fail with the old topo.c and directory.c; InstancesWithoutServersAreListedIfAllAre passes with both.

--- a/almondward/directory.c
+++ b/almondward/directory.c
@@ -10,12 +10,14 @@
 	const struct set_cluster *cluster;
 	const char *zone;
 	const char *region;
+	bool any_reach; /* also instances that reach no backend server */
 };
 
 static bool is_within(const struct location *location, enum distance distance,
 		      const Aw__Instance *instance)
 {
-	if (instance->state != AW__INSTANCE_STATE__INSTANCE_ACTIVE)
+	if (instance->state != AW__INSTANCE_STATE__INSTANCE_ACTIVE ||
+	    (instance->servers_unreachable && !location->any_reach))
 		return false;
 	switch (distance) {
 	case DISTANCE_ZONE:
@@ -66,12 +68,14 @@
 			    const char *region,
 			    const char *addresses[DIR_ADDRESSES_MAX])
 {
-	struct location location = { cluster, zone, region };
+	struct location location = { cluster, zone, region, false };
 	enum distance distance;
 	size_t i, nr = 0;
 
 	if (!*region)
 		location.region = set_region(cluster, zone);
+	location.any_reach =
+		!count_within(&location, DISTANCE_ANY, instances, nr_instances);
 	distance = choose_distance(&location, instances, nr_instances);
 	for (i = 0; i < nr_instances && nr < DIR_ADDRESSES_MAX; i++)
 		if (is_within(&location, distance, instances[i]))
--- a/almondward/directory.h
+++ b/almondward/directory.h
@@ -22,8 +22,9 @@
 /*
  * Fills in the addresses of active instances in the region, or only in the zone
  * if the region has more than DIR_ADDRESSES_MAX, or of all regions if the
- * region has none. An empty region stands for that of the zone. Returns the
- * number of addresses; they are owned by the instances.
+ * region has none. Instances that reach no backend server count only if all
+ * active ones of all regions reach none. An empty region stands for that of the
+ * zone. Returns the number of addresses; they are owned by the instances.
  */
 size_t dir_choose_instances(const struct set_cluster *cluster,
 			    const Aw__Instance *const *instances,
--- a/almondward/topo.c
+++ b/almondward/topo.c
@@ -402,6 +402,8 @@
 
 	if (known && known->incarnation == incarnation &&
 	    !known->link_lost_ms && known->message->state == instance->state &&
+	    known->message->servers_unreachable ==
+		    instance->servers_unreachable &&
 	    !strcmp(known->message->address, instance->address))
 		return 0;
 	copy = message_copy(&instance->base);
--- a/tests/directory_test.cc
+++ b/tests/directory_test.cc
@@ -96,6 +96,50 @@
 	EXPECT_EQ("3", choose("a1"));
 }
 
+// Callers of an instance that reaches no backend server are served worse than
+// those of any other one, even in another region.
+TEST_F(Directory, InstanceWithoutServersIsNotListed)
+{
+	add("a1", "1").servers_unreachable = true;
+	add("a2", "2");
+	add("b1", "3");
+	EXPECT_EQ("2", choose("a1"));
+	instances[1].servers_unreachable = true;
+	EXPECT_EQ("3", choose("a1"));
+	EXPECT_EQ("3", choose("b1"));
+}
+
+// Without any other instance, callers must get one that answers them.
+TEST_F(Directory, InstancesWithoutServersAreListedIfAllAre)
+{
+	add("a1", "1").servers_unreachable = true;
+	add("a2", "2").servers_unreachable = true;
+	add("b1", "3").servers_unreachable = true;
+	EXPECT_EQ("1 2", choose("a1"));
+	EXPECT_EQ("3", choose("b1"));
+	instances[1].state = AW__INSTANCE_STATE__INSTANCE_LEAVING;
+	EXPECT_EQ("1", choose("a1"));
+	add("b1", "4").state = AW__INSTANCE_STATE__INSTANCE_LEAVING;
+	EXPECT_EQ("1", choose("a1"));
+}
+
+// A zone of a large region that is cut off must not hide the rest of the region.
+TEST_F(Directory, ZoneOfALargeRegionWithoutServers)
+{
+	std::vector<std::string> names(140);
+	std::string others;
+
+	instances.reserve(names.size());
+	for (size_t i = 0; i < names.size(); i++) {
+		names[i] = std::to_string(i);
+		add(i % 2 ? "a2" : "a1", names[i].c_str()).servers_unreachable =
+			i % 2;
+		if (i % 2 == 0 && i < 2 * DIR_ADDRESSES_MAX)
+			others += (others.empty() ? "" : " ") + names[i];
+	}
+	EXPECT_EQ(others, choose("a2"));
+}
+
 // Heartbeats stay in the zone or region of their server if possible.
 TEST_F(Directory, HeartbeatsGoToControlInstanceOfTheZone)
 {
--- a/tests/topo_test.cc
+++ b/tests/topo_test.cc
@@ -157,6 +157,42 @@
 	EXPECT_EQ(0u, topo_find(topo, "s1")->cold_until_ms);
 }
 
+// An instance that loses or regains its servers must reach the look-ups of all
+// control instances at once: callers of the others are served better.
+TEST_F(Topo, LostServersOfAnInstanceAreFed)
+{
+	Aw__Instance instance = AW__INSTANCE__INIT;
+
+	instance.name = (char *)"e1";
+	instance.zone = (char *)"z1";
+	instance.address = (char *)"10.0.0.9:80";
+	const struct {
+		bool unreachable;
+		bool changed;
+	} reports[] = { { false, true },
+			{ true, true },
+			{ true, false },
+			{ false, true } };
+	for (const auto &report : reports) {
+		uint64_t version = topo_instances_version(topo);
+		Aw__Feed message = AW__FEED__INIT;
+		size_t nr;
+
+		instance.servers_unreachable = report.unreachable;
+		ASSERT_EQ(0, topo_instance_up(topo, &instance, 7));
+		EXPECT_EQ(report.changed,
+			  topo_instances_version(topo) != version);
+		message.term = topo_term(topo);
+		message.lists_included = true;
+		ASSERT_EQ(0, topo_fill_feed_instances(topo, &message));
+		ASSERT_EQ(0, topo_apply_feed(follower, &message));
+		topo_feed_release(&message);
+		auto listed = topo_instances(follower, &nr);
+		ASSERT_EQ(1u, nr);
+		EXPECT_EQ(report.unreachable, listed[0]->servers_unreachable);
+	}
+}
+
 TEST_F(Topo, LostInstanceStaysListedForAShortTime)
 {
 	Aw__Instance instance = AW__INSTANCE__INIT;
