--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -8486,7 +8486,7 @@
   (ProtobufCMessageInit) aw__raft_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__instance__field_descriptors[4] =
+static const ProtobufCFieldDescriptor aw__instance__field_descriptors[5] =
 {
   {
     "name",
@@ -8536,17 +8536,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers_unreachable",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Instance, servers_unreachable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__instance__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = name */
+  4,   /* field[4] = servers_unreachable */
   3,   /* field[3] = state */
   1,   /* field[1] = zone */
 };
 static const ProtobufCIntRange aw__instance__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor aw__instance__descriptor =
 {
@@ -8556,7 +8569,7 @@
   "Aw__Instance",
   "aw",
   sizeof(Aw__Instance),
-  4,
+  5,
   aw__instance__field_descriptors,
   aw__instance__field_indices_by_name,
   1,  aw__instance__number_ranges,
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -1183,10 +1183,14 @@
    */
   char *address;
   Aw__InstanceState state;
+  /*
+   * Reaches no backend server; look-ups omit it.
+   */
+  protobuf_c_boolean servers_unreachable;
 };
 #define AW__INSTANCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__instance__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, AW__INSTANCE_STATE__INSTANCE_ACTIVE }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, AW__INSTANCE_STATE__INSTANCE_ACTIVE, 0 }
 
 
 struct  Aw__Server
