gateway: Relay requests whose attempts did not reach any server

Callers of an entry instance that had lost its links to the backend servers got 503 no_server after one to two seconds, although other instances could serve them.

A request of which no attempt could send a byte now goes, whole and once, to another entry instance at its callers' address, as a request of this caller: with its key, its id and the time that is left. The other instance takes the customer's token, chooses a server, and its answer goes to the caller unchanged. Almondward-Relayed stops a second relay. Requests with home regions go to instances in these regions only.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -142,6 +142,7 @@
 	if (now_ms >= gw->last_slow_tick_ms + SLOW_TICK_MS) {
 		gw->last_slow_tick_ms = now_ms;
 		gw_backend_tick(gw);
+		gw_relay_tick(gw);
 		steer_tick(gw->steer);
 		coord_tick(gw->slots.coord);
 		gw_crash_tick(gw);
@@ -317,6 +318,7 @@
 static void close_all(struct gw *gw)
 {
 	gw_request_drop_all(gw);
+	gw_relay_close(gw);
 	http_server_destroy(gw->callers);
 	http_server_destroy(gw->ready);
 	http_server_destroy(gw->metrics);
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -143,6 +143,7 @@
 	struct gw_round_robin *round_robins; /* by route */
 	struct gw_request *requests;
 	struct gw_backend *backends; /* connections to servers */
+	struct gw_relay_peer *relay_peers;
 	size_t nr_requests;
 	struct http_memory response_memory; /* of responses being received */
 	/* Requests with a large body that wait for the link, oldest first. */
@@ -205,6 +206,12 @@
 
 void gw_on_request(void *arg, struct http_exchange *exchange,
 		   const struct http_request *req);
+/*
+ * Returns whether the caller's Connection header lists the header. Such headers
+ * apply to the caller's connection only and are not forwarded.
+ */
+bool gw_is_named_by_connection(const struct http_request *req,
+			       const char *name);
 /* Discards all requests without a response. */
 void gw_request_drop_all(struct gw *gw);
 void gw_plan_changed(struct gw *gw);
@@ -274,6 +281,59 @@
 /* Sends pending reports to the leader, or to the instances without one. */
 void gw_crash_report(struct gw *gw);
 
+/* ---- gateway_relay.c ---- */
+
+/* Instances that one request is relayed to, one after the other. */
+#define GW_RELAY_TRIED_MAX 2
+
+enum gw_relay_result {
+	GW_RELAY_ANSWERED, /* also with a refusal, when no instance is left */
+	GW_RELAY_NOT_RUN, /* no byte of it was sent */
+	GW_RELAY_LOST, /* it may have run, and the response was lost */
+	GW_RELAY_TIMEOUT /* it may have run, and the time is up */
+};
+
+/* A request that is passed on to another entry instance. */
+struct gw_relay {
+	struct gw *gw;
+	const struct http_request *req;
+	const char *id; /* NULL: none */
+	uint64_t deadline_ms;
+	size_t response_max_bytes;
+	/* Regions to which the request may be sent, see struct steer_query. */
+	char *const *regions;
+	size_t nr_regions;
+	char *const *more_regions;
+	size_t nr_more_regions;
+	/* Called when the last byte of a large body was sent. */
+	void (*body_sent)(void *arg);
+	/* response is NULL unless the result is GW_RELAY_ANSWERED. */
+	void (*done)(void *arg, enum gw_relay_result result,
+		     const struct http_response *response);
+	void *arg;
+
+	struct http_conn *conn; /* NULL: none is running */
+	char via[NAME_BYTES_MAX]; /* name of the current or last instance */
+	char address[ADDRESS_BYTES_MAX];
+	char tried[GW_RELAY_TRIED_MAX][NAME_BYTES_MAX];
+	size_t nr_tried;
+};
+
+/*
+ * Sends the request to an instance that was not tried yet. An instance that
+ * refuses it, or cannot be reached, is replaced by another one. Returns false
+ * if there is none; done is then not called.
+ */
+bool gw_relay_start(struct gw_relay *relay);
+/* Closes the connection to the other instance. */
+void gw_relay_cancel(struct gw_relay *relay);
+/* Returns whether the request comes from another instance. */
+bool gw_relay_was_relayed(const struct http_request *req);
+/* Returns whether the header is for instances only. */
+bool gw_relay_is_own_header(const char *name);
+void gw_relay_tick(struct gw *gw);
+void gw_relay_close(struct gw *gw);
+
 /* ---- gateway_backend.c ---- */
 
 struct gw_backend;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -102,6 +102,10 @@
 	uint64_t first_sent_ms; /* time of the first attempt, 0: none yet */
 	uint32_t nr_maybe_run; /* attempts that may have run the request */
 	uint32_t nr_not_run; /* attempts that did not run it */
+	uint32_t nr_unreached; /* those of them that sent nothing */
+	/* It comes from another instance and is not relayed again. */
+	bool was_relayed;
+	struct gw_relay relay; /* to another instance */
 	/* Set while the request waits for a token of this customer. */
 	struct gw_customer *token_customer;
 	uint64_t token_wait_start_ms;
@@ -219,7 +223,7 @@
 		"rule=%s verdict=%s server=%s server_zone=%s took_ms=%llu sent_ms=%lld "
 		"body_ms=%u tries=%u not_run=%u expected_ms=%u wait_ms=%u load=%u/%u "
 		"load_age_ms=%llu place=%d moved=%s limit_per_s=%s left_ms=%lld plan=%llu "
-		"plan_age_ms=%llu",
+		"plan_age_ms=%llu relayed=%s via=%s",
 		id_text(request, id), request->customer, request->route,
 		request->upstream, (unsigned long long)request->query.object,
 		status, outcome, rule, steer_verdict_name(choice->verdict),
@@ -234,7 +238,9 @@
 		choice->rank, choice->other_region ? "true" : "false",
 		request->limit_text, (long long)(request->deadline_ms - now_ms),
 		(unsigned long long)request->plan_version,
-		(unsigned long long)(now_ms - request->gw->plan_confirmed_ms));
+		(unsigned long long)(now_ms - request->gw->plan_confirmed_ms),
+		request->was_relayed ? "true" : "false",
+		*request->relay.via ? request->relay.via : "-");
 }
 
 static void refuse_exchange(struct gw *gw, struct http_exchange *exchange,
@@ -274,18 +280,30 @@
 	cJSON_free(text);
 }
 
+/*
+ * Returns the token of a request that this instance did not send to a server.
+ */
+static void return_token(struct gw_request *request)
+{
+	struct gw *gw = request->gw;
+	struct gw_customer *customer;
+
+	if (!request->has_token)
+		return;
+	request->has_token = false;
+	HASH_FIND_STR(gw->customers, request->customer, customer);
+	if (customer)
+		share_bucket_return(&customer->bucket, gw_now_ms(gw));
+}
+
 static void refuse(struct gw_request *request, enum refusal refusal,
 		   uint32_t retry_after_ms)
 {
 	const char *rule = reasons[refusal].rule;
 	struct gw *gw = request->gw;
-	struct gw_customer *customer;
 
-	if (request->has_token && !request->first_sent_ms) {
-		HASH_FIND_STR(gw->customers, request->customer, customer);
-		if (customer)
-			share_bucket_return(&customer->bucket, gw_now_ms(gw));
-	}
+	if (!request->first_sent_ms)
+		return_token(request);
 	log_request(request, refusal_status(refusal), refusal_name(refusal),
 		    rule ? rule : "");
 	/* The id is part of the HTTP request, valid until http_respond(). */
@@ -350,7 +368,8 @@
 	struct gw_request *request = arg;
 	struct gw *gw = request->gw;
 
-	gw_count(gw, "callers_left", request->conn ? "running" : "waiting");
+	gw_count(gw, "callers_left",
+		 request->conn || request->relay.conn ? "running" : "waiting");
 	if (request->conn) {
 		report_unanswered(request);
 		http_conn_destroy(request->conn);
@@ -362,6 +381,10 @@
 				  &(struct steer_load){ .known = false });
 		request->choice.server = NULL;
 	}
+	if (request->relay.conn) {
+		gw_relay_cancel(&request->relay);
+		end_large_body(request);
+	}
 	log_request(request, 0, "caller_left", "cancel");
 	request_free(request);
 }
@@ -391,6 +414,14 @@
 	send_next_large(gw);
 }
 
+static void on_relayed_body_sent(void *arg)
+{
+	struct gw_request *request = arg;
+
+	end_large_body(request);
+	send_next_large(request->gw);
+}
+
 static bool is_large(const struct gw_request *request)
 {
 	const struct gw *gw = request->gw;
@@ -401,12 +432,7 @@
 	       request->req->body_bytes > PACE_LARGE_BYTES;
 }
 
-/*
- * Returns whether the caller's Connection header lists the header. Such headers
- * apply to the caller's connection only and are not forwarded.
- */
-static bool is_named_by_connection(const struct http_request *req,
-				   const char *name)
+bool gw_is_named_by_connection(const struct http_request *req, const char *name)
 {
 	const char *list =
 		http_header_value(req->headers, req->nr_headers, "Connection");
@@ -434,7 +460,8 @@
 
 		if (request->gw->adapter->is_withheld(name) ||
 		    !strcasecmp(name, "Expect") ||
-		    is_named_by_connection(req, name))
+		    gw_relay_is_own_header(name) ||
+		    gw_is_named_by_connection(req, name))
 			continue;
 		headers[nr++] = req->headers[i];
 	}
@@ -687,6 +714,8 @@
 
 	log_attempt(request, outcome, cause);
 	end_large_body(request);
+	if (outcome == STEER_UNREACHED)
+		request->nr_unreached++;
 	if (query->nr_tried < STEER_TRIED_MAX)
 		query->tried[query->nr_tried++] = request->choice.server;
 	steer_attempt_end(request->gw->steer, request->choice.server, query,
@@ -720,6 +749,113 @@
 	       request->deadline_ms;
 }
 
+/* ---- relays ---- */
+
+static size_t answer_max_bytes(const struct gw *gw)
+{
+	uint64_t max_bytes =
+		gw->response_memory.max_bytes / RESPONSE_MEMORY_DIVISOR;
+
+	return max_bytes < RESPONSE_BYTES_MAX ? (size_t)max_bytes :
+						RESPONSE_BYTES_MAX;
+}
+
+static bool start_relay(struct gw_request *request);
+
+/*
+ * Retries or refuses after a relay that may have run the request.
+ */
+static void on_relay_lost(struct gw_request *request)
+{
+	request->nr_maybe_run++;
+	if (request->query.idempotent &&
+	    request->nr_maybe_run < request->attempts_max &&
+	    has_time_to_retry(request) && within_budget(request) &&
+	    start_relay(request)) {
+		gw_count(request->gw, "retries", "relay_lost");
+		return;
+	}
+	refuse(request, REFUSAL_SERVER_LOST, 0);
+}
+
+static void on_relay_done(void *arg, enum gw_relay_result result,
+			  const struct http_response *response)
+{
+	struct gw_request *request = arg;
+
+	end_large_body(request);
+	switch (result) {
+	case GW_RELAY_ANSWERED:
+		answer(request, response);
+		break;
+	case GW_RELAY_NOT_RUN:
+		refuse(request,
+		       request->nr_maybe_run ? REFUSAL_SERVER_LOST :
+					       REFUSAL_NO_SERVER,
+		       RETRY_AFTER_MS);
+		break;
+	case GW_RELAY_LOST:
+		on_relay_lost(request);
+		break;
+	case GW_RELAY_TIMEOUT:
+		refuse(request, REFUSAL_DEADLINE, 0);
+		break;
+	}
+}
+
+/*
+ * Passes the request on to another instance, which takes a token of the
+ * customer for it. Returns false if there is none.
+ */
+static bool start_relay(struct gw_request *request)
+{
+	struct gw_relay *relay = &request->relay;
+	struct gw *gw = request->gw;
+
+	if (request->was_relayed)
+		return false;
+	relay->gw = gw;
+	relay->req = request->req;
+	relay->id = request->parsed.id;
+	relay->deadline_ms = request->deadline_ms;
+	relay->response_max_bytes = answer_max_bytes(gw);
+	relay->regions = request->route_regions;
+	relay->nr_regions = request->nr_route_regions;
+	relay->more_regions = request->customer_regions;
+	relay->nr_more_regions = request->nr_customer_regions;
+	relay->body_sent = on_relayed_body_sent;
+	relay->done = on_relay_done;
+	relay->arg = request;
+	if (!gw_relay_start(relay))
+		return false;
+	gw_slot_end(gw, &request->slot, COORD_NOT_SENT);
+	if (!request->nr_maybe_run)
+		return_token(request);
+	request->choice.server = NULL;
+	if (is_large(request) && http_conn_sending(relay->conn)) {
+		request->sending_large = true;
+		gw->nr_large_sending++;
+	}
+	return true;
+}
+
+/*
+ * Refuses a request that was not run. If none of its attempts reached a server,
+ * it is relayed instead.
+ */
+static void relay_or_refuse(struct gw_request *request, enum refusal refusal,
+			    uint32_t retry_after_ms)
+{
+	if (request->nr_unreached &&
+	    request->nr_unreached == request->nr_not_run &&
+	    !request->nr_maybe_run && start_relay(request))
+		return;
+	refuse(request, request->nr_maybe_run ? REFUSAL_SERVER_LOST : refusal,
+	       retry_after_ms);
+}
+
+/* ---- retries ---- */
+
 /*
  * Returns the Retry-After time of a refusal. It comes from a new choice of a
  * server: the time that one server announced does not apply to the caller, as
@@ -746,9 +882,7 @@
 	    (!reached_server || within_budget(request)))
 		forward(request);
 	else
-		refuse(request,
-		       request->nr_maybe_run ? REFUSAL_SERVER_LOST : refusal,
-		       pick_retry_after_ms(request));
+		relay_or_refuse(request, refusal, pick_retry_after_ms(request));
 }
 
 /*
@@ -953,15 +1087,6 @@
 			NULL);
 }
 
-static size_t answer_max_bytes(const struct gw *gw)
-{
-	uint64_t max_bytes =
-		gw->response_memory.max_bytes / RESPONSE_MEMORY_DIVISOR;
-
-	return max_bytes < RESPONSE_BYTES_MAX ? (size_t)max_bytes :
-						RESPONSE_BYTES_MAX;
-}
-
 static bool send_call(struct gw_request *request)
 {
 	const struct http_request *req = request->req;
@@ -1010,12 +1135,11 @@
 	enum steer_verdict verdict = request->choice.verdict;
 
 	gw_count(request->gw, "verdicts", steer_verdict_name(verdict));
-	refuse(request,
-	       request->nr_maybe_run	  ? REFUSAL_SERVER_LOST :
-	       verdict == STEER_NO_SERVER ? REFUSAL_NO_SERVER :
-	       verdict == STEER_LIMITED	  ? REFUSAL_SERVER_LIMIT :
-					    REFUSAL_QUEUE_FULL,
-	       request->choice.retry_after_ms);
+	relay_or_refuse(request,
+			verdict == STEER_NO_SERVER ? REFUSAL_NO_SERVER :
+			verdict == STEER_LIMITED   ? REFUSAL_SERVER_LIMIT :
+						     REFUSAL_QUEUE_FULL,
+			request->choice.retry_after_ms);
 }
 
 /*
@@ -1256,7 +1380,8 @@
 		if (send_attempt(request))
 			return;
 		if (++request->nr_not_run > NOT_RUN_ATTEMPTS_MAX) {
-			refuse(request, REFUSAL_NO_SERVER, RETRY_AFTER_MS);
+			relay_or_refuse(request, REFUSAL_NO_SERVER,
+					RETRY_AFTER_MS);
 			return;
 		}
 	}
@@ -1471,6 +1596,7 @@
 	request->query.draw = erand48(gw->random_state);
 	snprintf(request->limit_text, sizeof(request->limit_text), "none");
 	gw->adapter->read_request(req, &request->parsed);
+	request->was_relayed = gw_relay_was_relayed(req);
 	DL_APPEND(gw->requests, request);
 	gw->nr_requests++;
 	http_exchange_on_abort(exchange, on_abort, request);
@@ -1674,6 +1800,7 @@
 		struct gw_request *request = gw->requests;
 
 		http_conn_destroy(request->conn);
+		gw_relay_cancel(&request->relay);
 		log_request(request, 0, "cut_by_stop", "grace_is_over");
 		request_free(request);
 	}
--- a/almondward/service.h
+++ b/almondward/service.h
@@ -163,6 +163,13 @@
 	size_t (*forward_headers)(const struct svc_forward *forward,
 				  struct svc_forward_text *text,
 				  struct http_header *out);
+	/*
+	 * Returns the header with which an instance passes on the time that is
+	 * left when it relays a request to another instance. It replaces the
+	 * caller's header of that name.
+	 */
+	struct http_header (*relay_deadline)(uint32_t left_ms,
+					     struct svc_forward_text *text);
 	void (*read_answer)(const struct http_response *response,
 			    struct svc_answer *out);
 	const char *request_id_header;
