reach, gateway: Detect lost links to the servers and relay at once

Callers of an instance without links to the servers waited until their deadline (silent connections) or one to two seconds (new connections).

reach finds out: when a connection fails, or no server has responded for 450 ms although attempts wait, probe connections to up to three servers in different zones decide. While none succeeds, requests are relayed at once; idempotent ones that wait on silent connections are ended and relayed within the retry budget, others wait for their response. Established connections are still used as long as they respond. The first connection that succeeds ends this, later if the links were lost again within 10 s.

--- a/almondward/event.h
+++ b/almondward/event.h
@@ -43,6 +43,7 @@
 	EVENT_HEARTBEAT, /* a heartbeat was refused */
 	EVENT_READ, /* a read of the plan was refused */
 	EVENT_CRASH, /* a server exited, or a request is suspected of a crash */
+	EVENT_REACH, /* servers cannot be reached, or can be again */
 	EVENT_COUNT
 };
 
--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -138,6 +138,7 @@
 	gw_link_tick(gw);
 	gw_request_tick(gw);
 	gossip_tick(gw->gossip);
+	gw_reach_tick(gw);
 	gw_slots_tick(gw);
 	if (now_ms >= gw->last_slow_tick_ms + SLOW_TICK_MS) {
 		gw->last_slow_tick_ms = now_ms;
@@ -283,7 +284,7 @@
 	    open_server(gw, cluster->listen_metrics, on_metrics,
 			CONNECTIONS_MAX, &gw->metrics) ||
 	    gw_link_open(gw) || gw_slots_open(gw) || gw_crash_open(gw) ||
-	    open_gossip(gw))
+	    gw_reach_open(gw) || open_gossip(gw))
 		return -1;
 	if (loop_on_stop_signal(gw->loop, on_stop, gw) ||
 	    loop_on_reload_signal(gw->loop, on_reload, gw))
@@ -319,6 +320,7 @@
 {
 	gw_request_drop_all(gw);
 	gw_relay_close(gw);
+	gw_reach_close(gw);
 	http_server_destroy(gw->callers);
 	http_server_destroy(gw->ready);
 	http_server_destroy(gw->metrics);
--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -103,6 +103,7 @@
 			continue;
 		conn = at->conn;
 		conn_info->is_new = at->is_new;
+		conn_info->is_opening = http_conn_opening(conn);
 		conn_info->idle_ms = idle_ms;
 		remove_idle(backend, at);
 		return conn;
@@ -120,7 +121,8 @@
 	struct gw_backend *backend;
 
 	if (!conn) {
-		*conn_info = (struct gw_conn_info){ .is_new = true };
+		*conn_info = (struct gw_conn_info){ .is_new = true,
+						    .is_opening = true };
 		if (http_conn_create(gw->loop, steer_server_address(server),
 				     CONNECT_TIMEOUT_MS, &conn))
 			return NULL;
@@ -169,6 +171,23 @@
 		add_idle(gw, server, conn, IDLE_MAX_MS, true, 0);
 }
 
+void gw_backend_keep(struct gw *gw, struct steer_server *server,
+		     struct http_conn *conn)
+{
+	add_idle(gw, server, conn, IDLE_MAX_MS, true, 0);
+}
+
+void gw_backend_close_idle(struct gw *gw)
+{
+	struct gw_backend *backend;
+
+	DL_FOREACH(gw->backends, backend)
+	{
+		while (backend->idle)
+			close_idle(backend, backend->idle);
+	}
+}
+
 void gw_backend_release(struct gw *gw, struct steer_server *server,
 			struct http_conn *conn, uint64_t id_hash,
 			uint32_t idle_max_ms)
@@ -209,7 +228,8 @@
 			if (now_ms >= at->expires_ms || !is_usable(at))
 				close_idle(backend, at);
 		}
-		if (!backend->nr_idle &&
+		if (reach_state(gw_reach(gw)) == REACH_OK &&
+		    !backend->nr_idle &&
 		    now_ms < backend->last_used_ms + RECENT_USE_MS &&
 		    now_ms >= backend->last_preconnect_ms +
 				      PRECONNECT_INTERVAL_MS &&
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -19,6 +19,7 @@
 #include "pace.h"
 #include "peer.h"
 #include "plan.h"
+#include "reach.h"
 #include "share.h"
 #include "steer.h"
 #include "topo.h"
@@ -144,6 +145,7 @@
 	struct gw_request *requests;
 	struct gw_backend *backends; /* connections to servers */
 	struct gw_relay_peer *relay_peers;
+	struct gw_reach *reach;
 	size_t nr_requests;
 	struct http_memory response_memory; /* of responses being received */
 	/* Requests with a large body that wait for the link, oldest first. */
@@ -221,6 +223,8 @@
  */
 void gw_request_grant_tokens(struct gw_customer *customer, uint32_t tokens,
 			     uint32_t wanted);
+/* Relays requests that wait for servers which cannot be reached any more. */
+void gw_request_on_cut(struct gw *gw);
 /* Handles requests that waited too long for a token or for the link. */
 void gw_request_tick(struct gw *gw);
 /* Takes the coordinator's reply; NULL: none was received in time. */
@@ -281,6 +285,15 @@
 /* Sends pending reports to the leader, or to the instances without one. */
 void gw_crash_report(struct gw *gw);
 
+/* ---- gateway_reach.c ---- */
+
+int gw_reach_open(struct gw *gw);
+void gw_reach_close(struct gw *gw);
+/* Returns what is known about the links to the servers. */
+struct reach *gw_reach(const struct gw *gw);
+/* Call every 20 ms. */
+void gw_reach_tick(struct gw *gw);
+
 /* ---- gateway_relay.c ---- */
 
 /* Instances that one request is relayed to, one after the other. */
@@ -325,6 +338,8 @@
  * if there is none; done is then not called.
  */
 bool gw_relay_start(struct gw_relay *relay);
+/* Returns whether there is an instance that the request can be sent to. */
+bool gw_relay_possible(const struct gw_relay *relay);
 /* Closes the connection to the other instance. */
 void gw_relay_cancel(struct gw_relay *relay);
 /* Returns whether the request comes from another instance. */
@@ -341,6 +356,7 @@
 /* The connection that a call is sent over. */
 struct gw_conn_info {
 	bool is_new; /* no call was made over it before */
+	bool is_opening; /* it was not established when the call was made */
 	uint64_t idle_ms; /* before the call */
 };
 
@@ -365,6 +381,11 @@
 void gw_backend_release(struct gw *gw, struct steer_server *server,
 			struct http_conn *conn, uint64_t id_hash,
 			uint32_t idle_max_ms);
+/* Takes a connection that was just established. */
+void gw_backend_keep(struct gw *gw, struct steer_server *server,
+		     struct http_conn *conn);
+/* Closes all idle connections. */
+void gw_backend_close_idle(struct gw *gw);
 /* Closes the idle connections to a server that steer discards. */
 void gw_backend_drop(void *arg, void *data);
 void gw_backend_tick(struct gw *gw);
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -85,6 +85,7 @@
 	instance->state = gw->stop_requested_ms ?
 				  AW__INSTANCE_STATE__INSTANCE_LEAVING :
 				  AW__INSTANCE_STATE__INSTANCE_ACTIVE;
+	instance->servers_unreachable = reach_state(gw_reach(gw)) != REACH_OK;
 }
 
 static void subscribe(struct gw *gw, struct peer_link *link)
--- a/almondward/gateway_relay.c
+++ b/almondward/gateway_relay.c
@@ -315,6 +315,12 @@
 	return gw_now_ms(relay->gw) + RELAY_TIME_MIN_MS < relay->deadline_ms;
 }
 
+bool gw_relay_possible(const struct gw_relay *relay)
+{
+	return relay->nr_tried < GW_RELAY_TRIED_MAX && has_time(relay) &&
+	       choose_instance(relay);
+}
+
 bool gw_relay_start(struct gw_relay *relay)
 {
 	const Aw__Instance *instance;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -98,6 +98,8 @@
 	uint64_t first_denied_ms;
 	struct http_conn *conn; /* of the current attempt, NULL: none */
 	struct gw_conn_info conn_info;
+	bool is_waiting; /* the current attempt is counted in gw_reach() */
+	bool is_sent; /* bytes of the current attempt may have been sent */
 	struct steer_attempt attempt; /* the current one */
 	uint64_t first_sent_ms; /* time of the first attempt, 0: none yet */
 	uint32_t nr_maybe_run; /* attempts that may have run the request */
@@ -105,6 +107,8 @@
 	uint32_t nr_unreached; /* those of them that sent nothing */
 	/* It comes from another instance and is not relayed again. */
 	bool was_relayed;
+	/* No token was taken for it, since another instance takes one. */
+	bool relay_only;
 	struct gw_relay relay; /* to another instance */
 	/* Set while the request waits for a token of this customer. */
 	struct gw_customer *token_customer;
@@ -359,6 +363,16 @@
 			    request->choice.server, attempt_ms(request));
 }
 
+/*
+ * The current attempt waits no longer for a response.
+ */
+static void stop_waiting(struct gw_request *request)
+{
+	if (request->is_waiting)
+		reach_attempt_end(gw_reach(request->gw));
+	request->is_waiting = false;
+}
+
 /*
  * The caller closed its connection. Closes the connection to the server, whose
  * work is of no use any more.
@@ -373,6 +387,7 @@
 	if (request->conn) {
 		report_unanswered(request);
 		http_conn_destroy(request->conn);
+		stop_waiting(request);
 		end_large_body(request);
 		gw_slot_end(gw, &request->slot, COORD_CACHE_UNKNOWN);
 		steer_attempt_end(gw->steer, request->choice.server,
@@ -611,6 +626,20 @@
 	       check_quarantine(request, &retry_after_ms) != QUAR_REFUSED;
 }
 
+/*
+ * Called when the connection is established and the request is about to be
+ * sent.
+ */
+static bool on_established(void *arg)
+{
+	struct gw_request *request = arg;
+
+	if (request->conn_info.is_opening)
+		reach_connected(gw_reach(request->gw));
+	request->is_sent = may_send(arg);
+	return request->is_sent;
+}
+
 /*
  * A response without an id may be to an earlier request, which only its body
  * could show.
@@ -713,6 +742,7 @@
 	struct steer_query *query = &request->query;
 
 	log_attempt(request, outcome, cause);
+	stop_waiting(request);
 	end_large_body(request);
 	if (outcome == STEER_UNREACHED)
 		request->nr_unreached++;
@@ -803,22 +833,15 @@
 	}
 }
 
-/*
- * Passes the request on to another instance, which takes a token of the
- * customer for it. Returns false if there is none.
- */
-static bool start_relay(struct gw_request *request)
+static void fill_relay(struct gw_request *request)
 {
 	struct gw_relay *relay = &request->relay;
-	struct gw *gw = request->gw;
 
-	if (request->was_relayed)
-		return false;
-	relay->gw = gw;
+	relay->gw = request->gw;
 	relay->req = request->req;
 	relay->id = request->parsed.id;
 	relay->deadline_ms = request->deadline_ms;
-	relay->response_max_bytes = answer_max_bytes(gw);
+	relay->response_max_bytes = answer_max_bytes(request->gw);
 	relay->regions = request->route_regions;
 	relay->nr_regions = request->nr_route_regions;
 	relay->more_regions = request->customer_regions;
@@ -826,6 +849,20 @@
 	relay->body_sent = on_relayed_body_sent;
 	relay->done = on_relay_done;
 	relay->arg = request;
+}
+
+/*
+ * Passes the request on to another instance, which takes a token of the
+ * customer for it. Returns false if there is none.
+ */
+static bool start_relay(struct gw_request *request)
+{
+	struct gw_relay *relay = &request->relay;
+	struct gw *gw = request->gw;
+
+	if (request->was_relayed)
+		return false;
+	fill_relay(request);
 	if (!gw_relay_start(relay))
 		return false;
 	gw_slot_end(gw, &request->slot, COORD_NOT_SENT);
@@ -854,6 +891,72 @@
 	       retry_after_ms);
 }
 
+/*
+ * Relays or refuses a request that no server can be sent to from here.
+ */
+static void relay_unreachable(struct gw_request *request)
+{
+	if (!start_relay(request))
+		refuse(request,
+		       request->nr_maybe_run ? REFUSAL_SERVER_LOST :
+					       REFUSAL_NO_SERVER,
+		       RETRY_AFTER_MS);
+}
+
+/*
+ * Ends an attempt whose server cannot be reached any more, if the request can
+ * be sent again: nothing was sent yet, or it is idempotent. Others may have run
+ * and wait for the response.
+ */
+static void end_cut_attempt(struct gw_request *request)
+{
+	bool is_sent = request->is_sent;
+
+	if (!is_sent) {
+		http_conn_destroy(request->conn);
+		request->nr_not_run++;
+		end_attempt(request, STEER_WITHDRAWN, "cut", NULL);
+		relay_unreachable(request);
+		return;
+	}
+	if (!request->query.idempotent || request->was_relayed ||
+	    http_conn_responding(request->conn) ||
+	    request->nr_maybe_run + 1 >= request->attempts_max)
+		return;
+	fill_relay(request);
+	if (!gw_relay_possible(&request->relay) || !within_budget(request))
+		return;
+	http_conn_destroy(request->conn);
+	request->nr_maybe_run++;
+	end_attempt(request, STEER_CANCELLED, "cut", NULL);
+	gw_count(request->gw, "retries", "cut");
+	relay_unreachable(request);
+}
+
+void gw_request_on_cut(struct gw *gw)
+{
+	struct gw_request *request, *next;
+
+	DL_FOREACH_SAFE(gw->requests, request, next)
+	{
+		if (request->conn)
+			end_cut_attempt(request);
+	}
+}
+
+/*
+ * Returns whether the request should be relayed rather than sent to the chosen
+ * server, to which no connection can be made.
+ */
+static bool needs_connection(const struct gw_request *request)
+{
+	const struct reach *reach = gw_reach(request->gw);
+
+	return reach_state(reach) == REACH_NO_NEW &&
+	       !(steer_server_idle(request->choice.server) &&
+		 reach_may_use_established(reach, request->query.idempotent));
+}
+
 /* ---- retries ---- */
 
 /*
@@ -976,6 +1079,7 @@
 	if (response->status < 300)
 		apply_limit_end(request, &read);
 	log_attempt(request, STEER_SUCCESS, "");
+	stop_waiting(request);
 	end_large_body(request);
 	gw_slot_end(gw, &request->slot,
 		    steer_attempt_end(gw->steer, request->choice.server,
@@ -1036,9 +1140,16 @@
 	struct svc_answer read;
 
 	if (outcome->result == HTTP_OK) {
+		reach_heard(gw_reach(request->gw));
 		on_answer(request, conn, &outcome->response);
 		return;
 	}
+	if (outcome->result == HTTP_INCOMPLETE ||
+	    outcome->result == HTTP_MALFORMED ||
+	    outcome->result == HTTP_TOO_LARGE)
+		reach_heard(gw_reach(request->gw));
+	if (outcome->result == HTTP_CONNECT_FAILED)
+		reach_connect_failed(gw_reach(request->gw));
 	if (outcome->failed_head.status) {
 		request->gw->adapter->read_answer(&outcome->failed_head, &read);
 		apply_notices(request, &read);
@@ -1108,7 +1219,7 @@
 		.response_max_bytes = answer_max_bytes(request->gw),
 		.response_memory = &request->gw->response_memory,
 		.timeout_ms = forward_info.left_ms,
-		.may_send = may_send,
+		.may_send = on_established,
 		.matches_request = is_own_response,
 		.request_sent = on_body_sent,
 		.done = on_done,
@@ -1292,6 +1403,9 @@
 	request->query.not_cached = steer_is_reported_uncached(
 		gw->steer, request->choice.server, &request->query);
 	steer_attempt_begin(gw->steer, request->choice.server, &request->query);
+	request->is_waiting = true;
+	request->is_sent = false;
+	reach_attempt_begin(gw_reach(gw));
 	if (!send_call(request)) {
 		end_attempt(request, STEER_UNREACHED, "no_connection", NULL);
 		return false;
@@ -1361,6 +1475,10 @@
 	struct gw *gw = request->gw;
 	enum next_step step;
 
+	if (request->relay_only || reach_state(gw_reach(gw)) == REACH_CUT) {
+		relay_unreachable(request);
+		return;
+	}
 	while (gw_now_ms(gw) < request->deadline_ms) {
 		if (refuse_quarantined(request))
 			return;
@@ -1372,6 +1490,10 @@
 			refuse_by_verdict(request);
 			return;
 		}
+		if (needs_connection(request)) {
+			relay_unreachable(request);
+			return;
+		}
 		step = ask_coordinator(request);
 		if (step == STEP_WAIT)
 			return;
@@ -1634,7 +1756,7 @@
 	struct gw_upstream *upstream =
 		get_upstream(request->gw, request->upstream);
 
-	if (upstream)
+	if (upstream && !request->relay_only)
 		budget_admit(&upstream->budget, gw_now_ms(request->gw));
 	if (!is_large(request) ||
 	    request->gw->nr_large_sending < LARGE_SENDING_MAX) {
@@ -1762,7 +1884,10 @@
 		refuse(request, REFUSAL_MEMORY, RETRY_AFTER_MS);
 		return;
 	}
-	wait_ms = customer ? take_token(request, customer) : 0;
+	request->relay_only = reach_state(gw_reach(request->gw)) == REACH_CUT;
+	wait_ms = customer && !request->relay_only ?
+			  take_token(request, customer) :
+			  0;
 	if (wait_ms)
 		wait_for_token(request, wait_ms);
 	else
--- /dev/null
+++ b/almondward/reach.c
@@ -0,0 +1,222 @@
+#include "reach.h"
+
+#include <stdlib.h>
+
+/* No response for this long while attempts wait starts a round of probes. An
+ * instance gets about 20 responses a second. */
+#define QUIET_MS 450
+/* Interval of rounds that find nothing, as while only slow requests run. */
+#define ROUND_INTERVAL_MAX_MS 1800
+#define PROBE_INTERVAL_MS 250 /* while no connection can be made */
+/* Established connections are in doubt when none responded for this long. */
+#define RESPONDED_MS 1000
+/*
+ * After links that were lost again within FLAP_MS, twice as many connections in
+ * a row must succeed before they are used again.
+ */
+#define FLAP_MS 10000
+#define SUCCESSES_MAX 8
+
+struct reach {
+	struct clk *clk;
+	enum reach_state state;
+	size_t nr_attempts; /* without an outcome */
+	/* Since when no server has responded although attempts wait. */
+	uint64_t quiet_since_ms;
+	uint64_t heard_ms; /* the last response, 0: none */
+	bool connect_failed; /* since the last round began */
+
+	/* The current round of probes, in REACH_OK. */
+	bool in_round;
+	size_t round_size;
+	size_t nr_failed; /* probes of the round */
+	uint64_t next_round_ms;
+	uint64_t round_interval_ms; /* after rounds that found nothing */
+
+	size_t nr_probes; /* without an outcome */
+	uint64_t next_probe_ms; /* in the other states */
+	uint64_t
+		regained_ms; /* when the state last became REACH_OK, 0: never */
+	uint32_t successes_needed;
+	uint32_t nr_successes; /* in a row */
+};
+
+static uint64_t now_ms(const struct reach *reach)
+{
+	return clk_now_ms(reach->clk);
+}
+
+struct reach *reach_create(struct clk *clk)
+{
+	struct reach *reach = calloc(1, sizeof(*reach));
+
+	if (!reach)
+		return NULL;
+	reach->clk = clk;
+	reach->round_interval_ms = QUIET_MS;
+	reach->successes_needed = 1;
+	return reach;
+}
+
+void reach_destroy(struct reach *reach)
+{
+	free(reach);
+}
+
+void reach_attempt_begin(struct reach *reach)
+{
+	if (!reach->nr_attempts++)
+		reach->quiet_since_ms = now_ms(reach);
+}
+
+void reach_attempt_end(struct reach *reach)
+{
+	reach->nr_attempts--;
+}
+
+static bool is_quiet(const struct reach *reach)
+{
+	return reach->nr_attempts &&
+	       now_ms(reach) >= reach->quiet_since_ms + QUIET_MS;
+}
+
+void reach_heard(struct reach *reach)
+{
+	reach->heard_ms = now_ms(reach);
+	reach->quiet_since_ms = reach->heard_ms;
+	reach->round_interval_ms = QUIET_MS;
+	if (reach->state == REACH_CUT)
+		reach->state = REACH_NO_NEW;
+}
+
+static void end_round(struct reach *reach)
+{
+	reach->in_round = false;
+	reach->nr_failed = 0;
+	reach->connect_failed = false;
+	reach->next_round_ms = now_ms(reach) + reach->round_interval_ms;
+}
+
+static void lose(struct reach *reach)
+{
+	uint64_t at_ms = now_ms(reach);
+
+	if (reach->regained_ms && at_ms < reach->regained_ms + FLAP_MS) {
+		if (reach->successes_needed < SUCCESSES_MAX)
+			reach->successes_needed *= 2;
+	} else {
+		reach->successes_needed = 1;
+	}
+	end_round(reach);
+	reach->nr_successes = 0;
+	reach->next_probe_ms = at_ms + PROBE_INTERVAL_MS;
+	reach->state = is_quiet(reach) ? REACH_CUT : REACH_NO_NEW;
+}
+
+void reach_connected(struct reach *reach)
+{
+	if (reach->state == REACH_OK) {
+		end_round(reach);
+		return;
+	}
+	if (++reach->nr_successes < reach->successes_needed)
+		return;
+	reach->state = REACH_OK;
+	reach->regained_ms = now_ms(reach);
+	/* Attempts that still wait were sent before the links returned. */
+	reach->quiet_since_ms = reach->regained_ms;
+	reach->round_interval_ms = QUIET_MS;
+	end_round(reach);
+}
+
+void reach_connect_failed(struct reach *reach)
+{
+	reach->connect_failed = true;
+	reach->nr_successes = 0;
+}
+
+void reach_probe_begin(struct reach *reach)
+{
+	reach->nr_probes++;
+}
+
+void reach_probe_end(struct reach *reach, bool connected)
+{
+	reach->nr_probes--;
+	if (connected) {
+		if (reach->state == REACH_OK &&
+		    reach->round_interval_ms < ROUND_INTERVAL_MAX_MS)
+			reach->round_interval_ms *= 2;
+		reach_connected(reach);
+		return;
+	}
+	reach->nr_successes = 0;
+	if (reach->in_round && ++reach->nr_failed >= reach->round_size)
+		lose(reach);
+}
+
+/*
+ * A round consists of one probe and, if that fails, the others at once: most
+ * rounds find nothing, and a probe costs a server time.
+ */
+static size_t probes_of_round(struct reach *reach, size_t nr_servers,
+			      bool *new_round)
+{
+	if (!reach->in_round) {
+		if ((!reach->connect_failed && !is_quiet(reach)) ||
+		    now_ms(reach) < reach->next_round_ms || !nr_servers)
+			return 0;
+		reach->in_round = true;
+		reach->connect_failed = false;
+		reach->nr_failed = 0;
+		reach->round_size = nr_servers < REACH_ROUND_PROBES ?
+					    nr_servers :
+					    REACH_ROUND_PROBES;
+		*new_round = true;
+	}
+	if (reach->nr_probes)
+		return 0;
+	return reach->nr_failed ? reach->round_size - reach->nr_failed : 1;
+}
+
+size_t reach_tick(struct reach *reach, size_t nr_servers, bool *new_round)
+{
+	uint64_t at_ms = now_ms(reach);
+
+	*new_round = false;
+	if (reach->state == REACH_OK)
+		return probes_of_round(reach, nr_servers, new_round);
+	if (reach->state == REACH_NO_NEW && is_quiet(reach))
+		reach->state = REACH_CUT;
+	*new_round = true;
+	if (at_ms < reach->next_probe_ms ||
+	    reach->nr_probes >= REACH_PROBES_MAX)
+		return 0;
+	reach->next_probe_ms = at_ms + PROBE_INTERVAL_MS;
+	return 1;
+}
+
+enum reach_state reach_state(const struct reach *reach)
+{
+	return reach->state;
+}
+
+const char *reach_state_name(enum reach_state state)
+{
+	static const char *const names[] = {
+		[REACH_OK] = "ok",
+		[REACH_NO_NEW] = "no_new_connections",
+		[REACH_CUT] = "cut",
+	};
+
+	return names[state];
+}
+
+bool reach_may_use_established(const struct reach *reach, bool idempotent)
+{
+	if (reach->state != REACH_NO_NEW)
+		return reach->state == REACH_OK;
+	if (reach->heard_ms && now_ms(reach) < reach->heard_ms + RESPONDED_MS)
+		return true;
+	return idempotent && !reach->nr_attempts;
+}
