gateway, reach: A connection that is reset at once was not established

Where new connections are refused by a reset right after they were accepted, a probe seemed to succeed. A new connection of a request now counts as established when a response arrives on it, and that of a probe when it has stayed open for 50 ms.

--- a/almondward/gateway_reach.c
+++ b/almondward/gateway_reach.c
@@ -12,6 +12,8 @@
 /* In addition to twice the round-trip time, which covers a server that accepts
  * late. */
 #define PROBE_TIMEOUT_MS 300
+/* A connection that was reset at once was not accepted by the server. */
+#define PROBE_SETTLE_MS 50
 
 struct gw_reach_probe {
 	struct http_conn *conn; /* NULL: unused */
@@ -162,7 +164,9 @@
 	bool connected = http_conn_reusable(conn);
 	struct steer_server *server;
 
-	if (http_conn_opening(conn))
+	if (http_conn_opening(conn) ||
+	    (connected &&
+	     gw_now_ms(gw) < http_conn_idle_since_ms(conn) + PROBE_SETTLE_MS))
 		return;
 	probe->conn = NULL;
 	server = connected ? steer_find(gw->steer, probe->server_id) : NULL;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -634,8 +634,6 @@
 {
 	struct gw_request *request = arg;
 
-	if (request->conn_info.is_opening)
-		reach_connected(gw_reach(request->gw));
 	request->is_sent = may_send(arg);
 	return request->is_sent;
 }
@@ -1123,6 +1121,37 @@
 	gw_count(gw, "kept_connections_broken", "");
 }
 
+/*
+ * A new connection counts as established only with a response: it may be reset
+ * as soon as it is accepted.
+ */
+static void update_reach(const struct gw_request *request,
+			 const struct http_outcome *outcome)
+{
+	struct reach *reach = gw_reach(request->gw);
+
+	switch (outcome->result) {
+	case HTTP_OK:
+	case HTTP_INCOMPLETE:
+	case HTTP_MALFORMED:
+	case HTTP_TOO_LARGE:
+		reach_heard(reach);
+		if (request->conn_info.is_opening)
+			reach_connected(reach);
+		break;
+	case HTTP_CONNECT_FAILED:
+		reach_connect_failed(reach);
+		break;
+	case HTTP_CLOSED:
+		if (request->conn_info.is_new)
+			reach_connect_failed(reach);
+		break;
+	case HTTP_TIMEOUT:
+	case HTTP_MEMORY:
+		break;
+	}
+}
+
 static void on_done(void *arg, struct http_conn *conn,
 		    const struct http_outcome *outcome)
 {
@@ -1139,17 +1168,11 @@
 	struct gw_request *request = arg;
 	struct svc_answer read;
 
+	update_reach(request, outcome);
 	if (outcome->result == HTTP_OK) {
-		reach_heard(gw_reach(request->gw));
 		on_answer(request, conn, &outcome->response);
 		return;
 	}
-	if (outcome->result == HTTP_INCOMPLETE ||
-	    outcome->result == HTTP_MALFORMED ||
-	    outcome->result == HTTP_TOO_LARGE)
-		reach_heard(gw_reach(request->gw));
-	if (outcome->result == HTTP_CONNECT_FAILED)
-		reach_connect_failed(gw_reach(request->gw));
 	if (outcome->failed_head.status) {
 		request->gw->adapter->read_answer(&outcome->failed_head, &read);
 		apply_notices(request, &read);
