steer, gateway: A server that cannot be reached gets no requests until it is

With the links to half of the servers lost, requests were sent to a lost server again each 1.5 s and waited 700 ms for the connection to fail; requests on silent connections waited for their deadline.

An attempt without a response after 1 s and twice the expected time causes one such connection, at most each 2 s for a server; if that fails, idempotent requests that wait there go to other servers within the retry budget.

Steer.UnreachedServer* pass.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -144,6 +144,7 @@
 	if (now_ms >= gw->last_slow_tick_ms + SLOW_TICK_MS) {
 		gw->last_slow_tick_ms = now_ms;
 		gw_backend_tick(gw);
+		gw_request_check_silent(gw);
 		gw_relay_tick(gw);
 		steer_tick(gw->steer);
 		coord_tick(gw->slots.coord);
--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -19,6 +19,12 @@
  * connection is kept open. */
 #define RECENT_USE_MS 10000
 #define PRECONNECT_INTERVAL_MS 1000 /* while connections fail */
+/* Interval of the connections that find out whether a server that could not be
+ * reached is there again; it doubles with each failure. */
+#define CHECK_INTERVAL_MIN_MS 500
+#define CHECK_INTERVAL_MAX_MS 2000
+/* A connection that was reset at once was not accepted by the server. */
+#define CHECK_SETTLE_MS 50
 
 struct idle_conn {
 	struct http_conn *conn;
@@ -35,6 +41,10 @@
 	struct steer_server *server; /* NULL: is being discarded */
 	uint64_t last_used_ms; /* when the last call was made */
 	uint64_t last_preconnect_ms; /* see PRECONNECT_INTERVAL_MS */
+	/* A connection that checks whether the server can be reached, or NULL. */
+	struct http_conn *check;
+	uint64_t next_check_ms;
+	uint64_t check_interval_ms;
 	struct gw_backend *prev, *next;
 };
 
@@ -177,14 +187,19 @@
 	add_idle(gw, server, conn, IDLE_MAX_MS, true, 0);
 }
 
+static void close_backend_idle(struct gw_backend *backend)
+{
+	while (backend->idle)
+		close_idle(backend, backend->idle);
+}
+
 void gw_backend_close_idle(struct gw *gw)
 {
 	struct gw_backend *backend;
 
 	DL_FOREACH(gw->backends, backend)
 	{
-		while (backend->idle)
-			close_idle(backend, backend->idle);
+		close_backend_idle(backend);
 	}
 }
 
@@ -203,14 +218,101 @@
 		http_conn_destroy(conn);
 }
 
+/* ---- servers that cannot be reached ---- */
+
+static void delay_check(struct gw *gw, struct gw_backend *backend)
+{
+	backend->check_interval_ms *= 2;
+	if (backend->check_interval_ms < CHECK_INTERVAL_MIN_MS)
+		backend->check_interval_ms = CHECK_INTERVAL_MIN_MS;
+	if (backend->check_interval_ms > CHECK_INTERVAL_MAX_MS)
+		backend->check_interval_ms = CHECK_INTERVAL_MAX_MS;
+	backend->next_check_ms = gw_now_ms(gw) + backend->check_interval_ms;
+}
+
+void gw_backend_unreached(struct gw *gw, struct steer_server *server,
+			  uint32_t took_ms)
+{
+	struct gw_backend *backend = get_backend(gw, server);
+
+	if (!backend)
+		return;
+	delay_check(gw, backend);
+	if (took_ms >= CONNECT_TIMEOUT_MS)
+		close_backend_idle(backend);
+}
+
+static void start_check(struct gw *gw, struct gw_backend *backend)
+{
+	if (http_conn_create(gw->loop, steer_server_address(backend->server),
+			     CONNECT_TIMEOUT_MS, &backend->check)) {
+		backend->check = NULL;
+		delay_check(gw, backend);
+		return;
+	}
+	gw_count(gw, "server_checks", "");
+}
+
+void gw_backend_check(struct gw *gw, struct steer_server *server)
+{
+	struct gw_backend *backend = steer_server_data(server);
+
+	if (backend && !backend->check &&
+	    gw_now_ms(gw) >= backend->next_check_ms)
+		start_check(gw, backend);
+}
+
+static void finish_check(struct gw *gw, struct gw_backend *backend)
+{
+	struct steer_server *server = backend->server;
+	struct http_conn *conn = backend->check;
+	uint64_t now_ms = gw_now_ms(gw);
+
+	if (http_conn_opening(conn) ||
+	    (http_conn_reusable(conn) &&
+	     now_ms < http_conn_idle_since_ms(conn) + CHECK_SETTLE_MS))
+		return;
+	backend->check = NULL;
+	if (http_conn_reusable(conn)) {
+		gw_backend_keep(gw, server, conn);
+		steer_server_set_unreached(gw->steer, server, false);
+		reach_connected(gw_reach(gw));
+		backend->check_interval_ms = 0;
+		backend->next_check_ms = now_ms + CHECK_INTERVAL_MAX_MS;
+		return;
+	}
+	http_conn_destroy(conn);
+	delay_check(gw, backend);
+	close_backend_idle(backend);
+	if (!steer_server_is_unreached(gw->steer, server)) {
+		reach_connect_failed(gw_reach(gw));
+		event_log(EVENT_SERVER, "server=%s notice=unreached",
+			  steer_server_id(server));
+	}
+	steer_server_set_unreached(gw->steer, server, true);
+}
+
+/*
+ * While no server can be reached, the probes of reach find out.
+ */
+static void check_tick(struct gw *gw, struct gw_backend *backend)
+{
+	if (backend->check)
+		finish_check(gw, backend);
+	else if (reach_state(gw_reach(gw)) == REACH_OK &&
+		 gw_now_ms(gw) >= backend->next_check_ms &&
+		 steer_server_is_unreached(gw->steer, backend->server))
+		start_check(gw, backend);
+}
+
 void gw_backend_drop(void *arg, void *data)
 {
 	struct gw_backend *backend = data;
 	struct gw *gw = arg;
 
 	backend->server = NULL;
-	while (backend->idle)
-		close_idle(backend, backend->idle);
+	close_backend_idle(backend);
+	http_conn_destroy(backend->check);
 	DL_DELETE(gw->backends, backend);
 	free(backend);
 }
@@ -223,6 +325,7 @@
 
 	DL_FOREACH(gw->backends, backend)
 	{
+		check_tick(gw, backend);
 		DL_FOREACH_SAFE(backend->idle, at, next)
 		{
 			if (now_ms >= at->expires_ms || !is_usable(at))
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -225,6 +225,12 @@
 			     uint32_t wanted);
 /* Relays requests that wait for servers which cannot be reached any more. */
 void gw_request_on_cut(struct gw *gw);
+/*
+ * Checks the servers of requests that wait unusually long for a response. Those
+ * of servers that cannot be reached are sent to other servers if they are
+ * idempotent. Goes through all requests.
+ */
+void gw_request_check_silent(struct gw *gw);
 /* Handles requests that waited too long for a token or for the link. */
 void gw_request_tick(struct gw *gw);
 /* Takes the coordinator's reply; NULL: none was received in time. */
@@ -384,6 +390,18 @@
 /* Takes a connection that was just established. */
 void gw_backend_keep(struct gw *gw, struct steer_server *server,
 		     struct http_conn *conn);
+/*
+ * Records that a connection to the server failed after took_ms. Further ones are
+ * tried in the background until one succeeds. Idle connections are closed if
+ * the failed one got no reply.
+ */
+void gw_backend_unreached(struct gw *gw, struct steer_server *server,
+			  uint32_t took_ms);
+/*
+ * Opens a connection in the background to find out whether the server can be
+ * reached, at most every two seconds.
+ */
+void gw_backend_check(struct gw *gw, struct steer_server *server);
 /* Closes all idle connections. */
 void gw_backend_close_idle(struct gw *gw);
 /* Closes the idle connections to a server that steer discards. */
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -57,6 +57,9 @@
 /* Larger bodies are hashed for a fingerprint only when a request is suspected
  * of crashing servers: bodies that are sent again and again are small. */
 #define SMALL_BODY_BYTES 4096
+/* A server is checked when the response takes longer than this, and more than
+ * twice the expected time. */
+#define SILENT_MIN_MS 1000
 /* A request that was denied a permit asks for one for other servers for this
  * time and this number of times; then it is refused. */
 #define DENIED_ASK_MS 150
@@ -742,8 +745,11 @@
 	log_attempt(request, outcome, cause);
 	stop_waiting(request);
 	end_large_body(request);
-	if (outcome == STEER_UNREACHED)
+	if (outcome == STEER_UNREACHED) {
 		request->nr_unreached++;
+		gw_backend_unreached(request->gw, request->choice.server,
+				     attempt_ms(request));
+	}
 	if (query->nr_tried < STEER_TRIED_MAX)
 		query->tried[query->nr_tried++] = request->choice.server;
 	steer_attempt_end(request->gw->steer, request->choice.server, query,
@@ -777,6 +783,21 @@
 	       request->deadline_ms;
 }
 
+/*
+ * Returns whether servers exited while they handled such requests. The request
+ * is then not retried here; whether to send it again is left to the caller.
+ */
+static bool crashes_forbid_retry(struct gw_request *request)
+{
+	uint32_t retry_after_ms;
+
+	if (check_quarantine(request, &retry_after_ms) == QUAR_NONE)
+		return false;
+	gw_count(request->gw, "retries_refused", "crashes");
+	request->is_trial = false;
+	return true;
+}
+
 /* ---- relays ---- */
 
 static size_t answer_max_bytes(const struct gw *gw)
@@ -902,33 +923,39 @@
 }
 
 /*
- * Ends an attempt whose server cannot be reached any more, if the request can
- * be sent again: nothing was sent yet, or it is idempotent. Others may have run
- * and wait for the response.
+ * Ends an attempt that may run the request, if the request can be sent again.
  */
-static void end_cut_attempt(struct gw_request *request)
+static bool end_silent_attempt(struct gw_request *request)
 {
-	bool is_sent = request->is_sent;
+	if (!request->query.idempotent || http_conn_responding(request->conn) ||
+	    request->nr_maybe_run + 1 >= request->attempts_max ||
+	    !has_time_to_retry(request) || crashes_forbid_retry(request) ||
+	    !within_budget(request))
+		return false;
+	http_conn_destroy(request->conn);
+	request->nr_maybe_run++;
+	end_attempt(request, STEER_CANCELLED, "unreached", NULL);
+	gw_count(request->gw, "retries", "unreached");
+	return true;
+}
 
-	if (!is_sent) {
+/*
+ * Relays a request whose server cannot be reached any more, if nothing was sent
+ * yet or it is idempotent. Others may have run and wait for the response.
+ */
+static void end_cut_attempt(struct gw_request *request)
+{
+	if (!request->is_sent) {
 		http_conn_destroy(request->conn);
 		request->nr_not_run++;
 		end_attempt(request, STEER_WITHDRAWN, "cut", NULL);
 		relay_unreachable(request);
 		return;
 	}
-	if (!request->query.idempotent || request->was_relayed ||
-	    http_conn_responding(request->conn) ||
-	    request->nr_maybe_run + 1 >= request->attempts_max)
-		return;
 	fill_relay(request);
-	if (!gw_relay_possible(&request->relay) || !within_budget(request))
-		return;
-	http_conn_destroy(request->conn);
-	request->nr_maybe_run++;
-	end_attempt(request, STEER_CANCELLED, "cut", NULL);
-	gw_count(request->gw, "retries", "cut");
-	relay_unreachable(request);
+	if (!request->was_relayed && gw_relay_possible(&request->relay) &&
+	    end_silent_attempt(request))
+		relay_unreachable(request);
 }
 
 void gw_request_on_cut(struct gw *gw)
@@ -942,6 +969,37 @@
 	}
 }
 
+static bool is_silent(const struct gw_request *request)
+{
+	uint32_t waited_ms;
+
+	if (!request->conn || !request->is_sent ||
+	    http_conn_responding(request->conn) ||
+	    http_conn_sending(request->conn))
+		return false;
+	waited_ms = attempt_ms(request);
+	return waited_ms >= SILENT_MIN_MS &&
+	       waited_ms > 2 * request->choice.expected_ms;
+}
+
+void gw_request_check_silent(struct gw *gw)
+{
+	struct gw_request *request, *next;
+
+	if (reach_state(gw_reach(gw)) != REACH_OK)
+		return;
+	DL_FOREACH_SAFE(gw->requests, request, next)
+	{
+		if (!is_silent(request))
+			continue;
+		if (!steer_server_is_unreached(gw->steer,
+					       request->choice.server))
+			gw_backend_check(gw, request->choice.server);
+		else if (end_silent_attempt(request))
+			forward(request);
+	}
+}
+
 /*
  * Returns whether the request should be relayed rather than sent to the chosen
  * server, to which no connection can be made.
@@ -986,21 +1044,6 @@
 		relay_or_refuse(request, refusal, pick_retry_after_ms(request));
 }
 
-/*
- * Returns whether servers exited while they handled such requests. The request
- * is then not retried here; whether to send it again is left to the caller.
- */
-static bool crashes_forbid_retry(struct gw_request *request)
-{
-	uint32_t retry_after_ms;
-
-	if (check_quarantine(request, &retry_after_ms) == QUAR_NONE)
-		return false;
-	gw_count(request->gw, "retries_refused", "crashes");
-	request->is_trial = false;
-	return true;
-}
-
 /*
  * Retries, answers or refuses after an attempt that may have run the request.
  * last is the server's 5xx response, which the caller gets if there is no
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -35,8 +35,9 @@
 /* Time constant with which a server's averages decay to normal, so that it is
  * tried again. */
 #define DECAY_MS 4000.0
-/* After a failed connection a server is the last choice for this time. */
-#define UNREACHED_AVOID_MS 1500
+/* After a failed connection a server gets no requests while there are others,
+ * until it is reached again or this time has passed. */
+#define UNREACHED_AVOID_MS 5000
 /* Time constant with which the last known count of other instances' requests
  * decays. */
 #define OTHERS_DECAY_MS 1500.0
@@ -1056,8 +1057,6 @@
 		at->cost_ms += SILENT_COST_MS;
 	if (server->notice.leaving_ms)
 		at->cost_ms += LEAVING_COST_MS;
-	if (now_ms(steer) < server->unreached_until_ms)
-		at->cost_ms += SILENT_COST_MS;
 	/* Cold servers work at half speed. */
 	if (server->cold_until_ms > now_ms(steer))
 		at->cost_ms += at->work_ms;
@@ -1146,10 +1145,16 @@
 			strcmp(candidates[i].server->region, region) != 0;
 }
 
+static bool is_unreached(const struct steer *steer,
+			 const struct steer_server *server)
+{
+	return now_ms(steer) < server->unreached_until_ms;
+}
+
 static bool is_healthy(const struct steer *steer,
 		       const struct steer_server *server)
 {
-	return !server->silent && now_ms(steer) >= server->unreached_until_ms &&
+	return !server->silent && !is_unreached(steer, server) &&
 	       server->failure_rate < HEALTHY_FAILURE_RATE_MAX;
 }
 
@@ -1245,6 +1250,20 @@
 	return slots > 0 ? load / slots : 1;
 }
 
+/*
+ * Removes the servers that could not be reached, unless there are no others.
+ */
+static size_t remove_unreached(const struct steer *steer,
+			       struct candidate *candidates, size_t nr)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < nr; i++)
+		if (!is_unreached(steer, candidates[i].server))
+			candidates[kept++] = candidates[i];
+	return kept ? kept : nr;
+}
+
 static size_t collect_candidates(struct steer *steer,
 				 const struct steer_query *query,
 				 const struct upstream *upstream,
@@ -1274,6 +1293,7 @@
 		at->healthy = is_healthy(steer, server);
 		nr++;
 	}
+	nr = remove_unreached(steer, candidates, nr);
 	ranks->busy_share = get_busy_share(steer, candidates, nr);
 	nr = filter_ranked(ranks, query, candidates, nr);
 	ranks->first = is_near_object(upstream, query) ? ranks->near[0] :
@@ -1543,6 +1563,7 @@
 		update_load(steer, server, load);
 	switch (outcome) {
 	case STEER_SUCCESS:
+		server->unreached_until_ms = 0;
 		end = learn_work(steer, server, query,
 				 (double)(at_ms - attempt->sent_ms), load);
 		learn_service(steer, server, query, attempt);
@@ -1559,7 +1580,7 @@
 		steer->shift_exempt_until_ms = at_ms + SHIFT_EXEMPT_MS;
 		break;
 	case STEER_UNREACHED:
-		server->unreached_until_ms = at_ms + UNREACHED_AVOID_MS;
+		steer_server_set_unreached(steer, server, true);
 		steer->shift_exempt_until_ms = at_ms + SHIFT_EXEMPT_MS;
 		break;
 	case STEER_REPLACED:
@@ -1761,6 +1782,20 @@
 	return state != NOTICE_LEFT && state != NOTICE_BACKOFF;
 }
 
+void steer_server_set_unreached(struct steer *steer,
+				struct steer_server *server, bool unreached)
+{
+	server->unreached_until_ms =
+		unreached ? read_clock(steer) + UNREACHED_AVOID_MS : 0;
+}
+
+bool steer_server_is_unreached(struct steer *steer,
+			       const struct steer_server *server)
+{
+	read_clock(steer);
+	return is_unreached(steer, server);
+}
+
 void steer_tick(struct steer *steer)
 {
 	uint64_t at_ms = read_clock(steer);
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -227,6 +227,16 @@
  */
 bool steer_may_send(struct steer *steer, const struct steer_server *server);
 
+/*
+ * A server that could not be reached gets no requests while there are others.
+ * This ends when it is reached again, by a request or otherwise. Report each
+ * connection that fails, as otherwise the server is tried again after a while.
+ */
+void steer_server_set_unreached(struct steer *steer,
+				struct steer_server *server, bool unreached);
+bool steer_server_is_unreached(struct steer *steer,
+			       const struct steer_server *server);
+
 /*
  * Takes the time that a new connection to the server took to be established.
  */
--- a/tests/steer_test.cc
+++ b/tests/steer_test.cc
@@ -546,6 +546,51 @@
 	EXPECT_EQ(STEER_SEND, pick(request).verdict);
 }
 
+// Every request that is sent to a server which cannot be reached waits for the
+// connection to fail.
+TEST_F(Steer, UnreachedServerGetsNothingUntilItIsReached)
+{
+	struct steer_server *lost;
+
+	for (int i = 0; i < 3; i++)
+		add("s" + std::to_string(i), "a1");
+	sync();
+	lost = steer_find(steer, "s0");
+	steer_server_set_unreached(steer, lost, true);
+	EXPECT_TRUE(steer_server_is_unreached(steer, lost));
+	for (int second = 0; second < 20; second++) {
+		for (uint64_t object = 0; object < 30; object++)
+			ASSERT_NE("s0", id(pick(query(object)))) << second;
+		fill(steer_find(steer, "s1"), 1);
+		fill(steer_find(steer, "s2"), 1);
+		clk_advance_ms(clk, 1000);
+		steer_server_set_unreached(steer, lost, true);
+	}
+	steer_server_set_unreached(steer, lost, false);
+	EXPECT_EQ("s0", id(pick(query(1))));
+}
+
+// If no server can be reached, one of them has to be tried.
+TEST_F(Steer, UnreachedServersAreTriedIfThereAreNoOthers)
+{
+	auto request = query();
+
+	for (int i = 0; i < 3; i++)
+		add("s" + std::to_string(i), "a1");
+	sync();
+	for (int i = 0; i < 3; i++)
+		steer_server_set_unreached(
+			steer,
+			steer_find(steer, ("s" + std::to_string(i)).c_str()),
+			true);
+	auto choice = pick(request);
+
+	ASSERT_EQ(STEER_SEND, choice.verdict);
+	steer_attempt_begin(steer, choice.server, &request);
+	end(choice, request, STEER_SUCCESS);
+	EXPECT_FALSE(steer_server_is_unreached(steer, choice.server));
+}
+
 // Servers that join must not stay idle because others have all objects cached.
 TEST_F(Steer, JoinedServerGetsWork)
 {
