--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -139,10 +139,13 @@
 	gw_link_tick(gw);
 	gw_request_tick(gw);
 	gossip_tick(gw->gossip);
+	gw_reach_tick(gw);
 	gw_slots_tick(gw);
 	if (now_ms >= gw->last_slow_tick_ms + SLOW_TICK_MS) {
 		gw->last_slow_tick_ms = now_ms;
 		gw_backend_tick(gw);
+		gw_request_check_silent(gw);
+		gw_relay_tick(gw);
 		steer_tick(gw->steer);
 		coord_tick(gw->slots.coord);
 		gw_crash_tick(gw);
@@ -289,7 +292,7 @@
 	    open_server(gw, cluster->listen_metrics, on_metrics,
 			CONNECTIONS_MAX, &gw->metrics) ||
 	    gw_link_open(gw) || gw_slots_open(gw) || gw_crash_open(gw) ||
-	    open_gossip(gw))
+	    gw_reach_open(gw) || open_gossip(gw))
 		return -1;
 	if (loop_on_stop_signal(gw->loop, on_stop, gw) ||
 	    loop_on_reload_signal(gw->loop, on_reload, gw))
@@ -324,6 +327,8 @@
 static void close_all(struct gw *gw)
 {
 	gw_request_drop_all(gw);
+	gw_relay_close(gw);
+	gw_reach_close(gw);
 	http_server_destroy(gw->callers);
 	http_server_destroy(gw->ready);
 	http_server_destroy(gw->metrics);
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -57,6 +57,9 @@
 /* Larger bodies are hashed for a fingerprint only when a request is suspected
  * of crashing servers: bodies that are sent again and again are small. */
 #define SMALL_BODY_BYTES 4096
+/* A server is checked when the response takes longer than this, and more than
+ * twice the expected time. */
+#define SILENT_MIN_MS 1000
 /* A request that was denied a permit asks for one for other servers for this
  * time and this number of times; then it is refused. */
 #define DENIED_ASK_MS 150
@@ -98,10 +101,18 @@
 	uint64_t first_denied_ms;
 	struct http_conn *conn; /* of the current attempt, NULL: none */
 	struct gw_conn_info conn_info;
+	bool is_waiting; /* the current attempt is counted in gw_reach() */
+	bool is_sent; /* bytes of the current attempt may have been sent */
 	struct steer_attempt attempt; /* the current one */
 	uint64_t first_sent_ms; /* time of the first attempt, 0: none yet */
 	uint32_t nr_maybe_run; /* attempts that may have run the request */
 	uint32_t nr_not_run; /* attempts that did not run it */
+	uint32_t nr_unreached; /* those of them that sent nothing */
+	/* It comes from another instance and is not relayed again. */
+	bool was_relayed;
+	/* No token was taken for it, since another instance takes one. */
+	bool relay_only;
+	struct gw_relay relay; /* to another instance */
 	/* Set while the request waits for a token of this customer. */
 	struct gw_customer *token_customer;
 	uint64_t token_wait_start_ms;
@@ -219,7 +230,7 @@
 		"rule=%s verdict=%s server=%s server_zone=%s took_ms=%llu sent_ms=%lld "
 		"body_ms=%u tries=%u not_run=%u expected_ms=%u wait_ms=%u load=%u/%u "
 		"load_age_ms=%llu place=%d moved=%s limit_per_s=%s left_ms=%lld plan=%llu "
-		"plan_age_ms=%llu",
+		"plan_age_ms=%llu relayed=%s via=%s",
 		id_text(request, id), request->customer, request->route,
 		request->upstream, (unsigned long long)request->query.object,
 		status, outcome, rule, steer_verdict_name(choice->verdict),
@@ -234,7 +245,9 @@
 		choice->rank, choice->other_region ? "true" : "false",
 		request->limit_text, (long long)(request->deadline_ms - now_ms),
 		(unsigned long long)request->plan_version,
-		(unsigned long long)(now_ms - request->gw->plan_confirmed_ms));
+		(unsigned long long)(now_ms - request->gw->plan_confirmed_ms),
+		request->was_relayed ? "true" : "false",
+		*request->relay.via ? request->relay.via : "-");
 }
 
 static void refuse_exchange(struct gw *gw, struct http_exchange *exchange,
@@ -274,18 +287,30 @@
 	cJSON_free(text);
 }
 
+/*
+ * Returns the token of a request that this instance did not send to a server.
+ */
+static void return_token(struct gw_request *request)
+{
+	struct gw *gw = request->gw;
+	struct gw_customer *customer;
+
+	if (!request->has_token)
+		return;
+	request->has_token = false;
+	HASH_FIND_STR(gw->customers, request->customer, customer);
+	if (customer)
+		share_bucket_return(&customer->bucket, gw_now_ms(gw));
+}
+
 static void refuse(struct gw_request *request, enum refusal refusal,
 		   uint32_t retry_after_ms)
 {
 	const char *rule = reasons[refusal].rule;
 	struct gw *gw = request->gw;
-	struct gw_customer *customer;
 
-	if (request->has_token && !request->first_sent_ms) {
-		HASH_FIND_STR(gw->customers, request->customer, customer);
-		if (customer)
-			share_bucket_return(&customer->bucket, gw_now_ms(gw));
-	}
+	if (!request->first_sent_ms)
+		return_token(request);
 	log_request(request, refusal_status(refusal), refusal_name(refusal),
 		    rule ? rule : "");
 	/* The id is part of the HTTP request, valid until http_respond(). */
@@ -341,6 +366,16 @@
 			    request->choice.server, attempt_ms(request));
 }
 
+/*
+ * The current attempt waits no longer for a response.
+ */
+static void stop_waiting(struct gw_request *request)
+{
+	if (request->is_waiting)
+		reach_attempt_end(gw_reach(request->gw));
+	request->is_waiting = false;
+}
+
 /*
  * The caller closed its connection. Closes the connection to the server, whose
  * work is of no use any more.
@@ -350,10 +385,12 @@
 	struct gw_request *request = arg;
 	struct gw *gw = request->gw;
 
-	gw_count(gw, "callers_left", request->conn ? "running" : "waiting");
+	gw_count(gw, "callers_left",
+		 request->conn || request->relay.conn ? "running" : "waiting");
 	if (request->conn) {
 		report_unanswered(request);
 		http_conn_destroy(request->conn);
+		stop_waiting(request);
 		end_large_body(request);
 		gw_slot_end(gw, &request->slot, COORD_CACHE_UNKNOWN);
 		steer_attempt_end(gw->steer, request->choice.server,
@@ -362,6 +399,10 @@
 				  &(struct steer_load){ .known = false });
 		request->choice.server = NULL;
 	}
+	if (request->relay.conn) {
+		gw_relay_cancel(&request->relay);
+		end_large_body(request);
+	}
 	log_request(request, 0, "caller_left", "cancel");
 	request_free(request);
 }
@@ -391,6 +432,14 @@
 	send_next_large(gw);
 }
 
+static void on_relayed_body_sent(void *arg)
+{
+	struct gw_request *request = arg;
+
+	end_large_body(request);
+	send_next_large(request->gw);
+}
+
 static bool is_large(const struct gw_request *request)
 {
 	const struct gw *gw = request->gw;
@@ -401,12 +450,7 @@
 	       request->req->body_bytes > PACE_LARGE_BYTES;
 }
 
-/*
- * Returns whether the caller's Connection header lists the header. Such headers
- * apply to the caller's connection only and are not forwarded.
- */
-static bool is_named_by_connection(const struct http_request *req,
-				   const char *name)
+bool gw_is_named_by_connection(const struct http_request *req, const char *name)
 {
 	const char *list =
 		http_header_value(req->headers, req->nr_headers, "Connection");
@@ -434,7 +478,8 @@
 
 		if (request->gw->adapter->is_withheld(name) ||
 		    !strcasecmp(name, "Expect") ||
-		    is_named_by_connection(req, name))
+		    gw_relay_is_own_header(name) ||
+		    gw_is_named_by_connection(req, name))
 			continue;
 		headers[nr++] = req->headers[i];
 	}
@@ -584,6 +629,18 @@
 	       check_quarantine(request, &retry_after_ms) != QUAR_REFUSED;
 }
 
+/*
+ * Called when the connection is established and the request is about to be
+ * sent.
+ */
+static bool on_established(void *arg)
+{
+	struct gw_request *request = arg;
+
+	request->is_sent = may_send(arg);
+	return request->is_sent;
+}
+
 /*
  * A response without an id may be to an earlier request, which only its body
  * could show.
@@ -686,7 +743,13 @@
 	struct steer_query *query = &request->query;
 
 	log_attempt(request, outcome, cause);
+	stop_waiting(request);
 	end_large_body(request);
+	if (outcome == STEER_UNREACHED) {
+		request->nr_unreached++;
+		gw_backend_unreached(request->gw, request->choice.server,
+				     attempt_ms(request));
+	}
 	if (query->nr_tried < STEER_TRIED_MAX)
 		query->tried[query->nr_tried++] = request->choice.server;
 	steer_attempt_end(request->gw->steer, request->choice.server, query,
@@ -720,6 +783,238 @@
 	       request->deadline_ms;
 }
 
+/*
+ * Returns whether servers exited while they handled such requests. The request
+ * is then not retried here; whether to send it again is left to the caller.
+ */
+static bool crashes_forbid_retry(struct gw_request *request)
+{
+	uint32_t retry_after_ms;
+
+	if (check_quarantine(request, &retry_after_ms) == QUAR_NONE)
+		return false;
+	gw_count(request->gw, "retries_refused", "crashes");
+	request->is_trial = false;
+	return true;
+}
+
+/* ---- relays ---- */
+
+static size_t answer_max_bytes(const struct gw *gw)
+{
+	uint64_t max_bytes =
+		gw->response_memory.max_bytes / RESPONSE_MEMORY_DIVISOR;
+
+	return max_bytes < RESPONSE_BYTES_MAX ? (size_t)max_bytes :
+						RESPONSE_BYTES_MAX;
+}
+
+static bool start_relay(struct gw_request *request);
+
+/*
+ * Retries or refuses after a relay that may have run the request.
+ */
+static void on_relay_lost(struct gw_request *request)
+{
+	request->nr_maybe_run++;
+	if (request->query.idempotent &&
+	    request->nr_maybe_run < request->attempts_max &&
+	    has_time_to_retry(request) && within_budget(request) &&
+	    start_relay(request)) {
+		gw_count(request->gw, "retries", "relay_lost");
+		return;
+	}
+	refuse(request, REFUSAL_SERVER_LOST, 0);
+}
+
+static void on_relay_done(void *arg, enum gw_relay_result result,
+			  const struct http_response *response)
+{
+	struct gw_request *request = arg;
+
+	end_large_body(request);
+	switch (result) {
+	case GW_RELAY_ANSWERED:
+		answer(request, response);
+		break;
+	case GW_RELAY_NOT_RUN:
+		refuse(request,
+		       request->nr_maybe_run ? REFUSAL_SERVER_LOST :
+					       REFUSAL_NO_SERVER,
+		       RETRY_AFTER_MS);
+		break;
+	case GW_RELAY_LOST:
+		on_relay_lost(request);
+		break;
+	case GW_RELAY_TIMEOUT:
+		refuse(request, REFUSAL_DEADLINE, 0);
+		break;
+	}
+}
+
+static void fill_relay(struct gw_request *request)
+{
+	struct gw_relay *relay = &request->relay;
+
+	relay->gw = request->gw;
+	relay->req = request->req;
+	relay->id = request->parsed.id;
+	relay->deadline_ms = request->deadline_ms;
+	relay->response_max_bytes = answer_max_bytes(request->gw);
+	relay->regions = request->route_regions;
+	relay->nr_regions = request->nr_route_regions;
+	relay->more_regions = request->customer_regions;
+	relay->nr_more_regions = request->nr_customer_regions;
+	relay->body_sent = on_relayed_body_sent;
+	relay->done = on_relay_done;
+	relay->arg = request;
+}
+
+/*
+ * Passes the request on to another instance, which takes a token of the
+ * customer for it. Returns false if there is none.
+ */
+static bool start_relay(struct gw_request *request)
+{
+	struct gw_relay *relay = &request->relay;
+	struct gw *gw = request->gw;
+
+	if (request->was_relayed)
+		return false;
+	fill_relay(request);
+	if (!gw_relay_start(relay))
+		return false;
+	gw_slot_end(gw, &request->slot, COORD_NOT_SENT);
+	if (!request->nr_maybe_run)
+		return_token(request);
+	request->choice.server = NULL;
+	if (is_large(request) && http_conn_sending(relay->conn)) {
+		request->sending_large = true;
+		gw->nr_large_sending++;
+	}
+	return true;
+}
+
+/*
+ * Refuses a request that was not run. If none of its attempts reached a server,
+ * it is relayed instead.
+ */
+static void relay_or_refuse(struct gw_request *request, enum refusal refusal,
+			    uint32_t retry_after_ms)
+{
+	if (request->nr_unreached &&
+	    request->nr_unreached == request->nr_not_run &&
+	    !request->nr_maybe_run && start_relay(request))
+		return;
+	refuse(request, request->nr_maybe_run ? REFUSAL_SERVER_LOST : refusal,
+	       retry_after_ms);
+}
+
+/*
+ * Relays or refuses a request that no server can be sent to from here.
+ */
+static void relay_unreachable(struct gw_request *request)
+{
+	if (!start_relay(request))
+		refuse(request,
+		       request->nr_maybe_run ? REFUSAL_SERVER_LOST :
+					       REFUSAL_NO_SERVER,
+		       RETRY_AFTER_MS);
+}
+
+/*
+ * Ends an attempt that may run the request, if the request can be sent again.
+ */
+static bool end_silent_attempt(struct gw_request *request)
+{
+	if (!request->query.idempotent || http_conn_responding(request->conn) ||
+	    request->nr_maybe_run + 1 >= request->attempts_max ||
+	    !has_time_to_retry(request) || crashes_forbid_retry(request) ||
+	    !within_budget(request))
+		return false;
+	http_conn_destroy(request->conn);
+	request->nr_maybe_run++;
+	end_attempt(request, STEER_CANCELLED, "unreached", NULL);
+	gw_count(request->gw, "retries", "unreached");
+	return true;
+}
+
+/*
+ * Relays a request whose server cannot be reached any more, if nothing was sent
+ * yet or it is idempotent. Others may have run and wait for the response.
+ */
+static void end_cut_attempt(struct gw_request *request)
+{
+	if (!request->is_sent) {
+		http_conn_destroy(request->conn);
+		request->nr_not_run++;
+		end_attempt(request, STEER_WITHDRAWN, "cut", NULL);
+		relay_unreachable(request);
+		return;
+	}
+	fill_relay(request);
+	if (!request->was_relayed && gw_relay_possible(&request->relay) &&
+	    end_silent_attempt(request))
+		relay_unreachable(request);
+}
+
+void gw_request_on_cut(struct gw *gw)
+{
+	struct gw_request *request, *next;
+
+	DL_FOREACH_SAFE(gw->requests, request, next)
+	{
+		if (request->conn)
+			end_cut_attempt(request);
+	}
+}
+
+static bool is_silent(const struct gw_request *request)
+{
+	uint32_t waited_ms;
+
+	if (!request->conn || !request->is_sent ||
+	    http_conn_responding(request->conn) ||
+	    http_conn_sending(request->conn))
+		return false;
+	waited_ms = attempt_ms(request);
+	return waited_ms >= SILENT_MIN_MS &&
+	       waited_ms > 2 * request->choice.expected_ms;
+}
+
+void gw_request_check_silent(struct gw *gw)
+{
+	struct gw_request *request, *next;
+
+	if (reach_state(gw_reach(gw)) != REACH_OK)
+		return;
+	DL_FOREACH_SAFE(gw->requests, request, next)
+	{
+		if (!is_silent(request))
+			continue;
+		if (!steer_server_is_unreached(gw->steer,
+					       request->choice.server))
+			gw_backend_check(gw, request->choice.server);
+		else if (end_silent_attempt(request))
+			forward(request);
+	}
+}
+
+/*
+ * Returns whether the request should be relayed rather than sent to the chosen
+ * server, to which no connection can be made.
+ */
+static bool needs_connection(const struct gw_request *request)
+{
+	const struct reach *reach = gw_reach(request->gw);
+
+	return reach_state(reach) == REACH_NO_NEW &&
+	       !(steer_server_idle(request->choice.server) &&
+		 reach_may_use_established(reach, request->query.idempotent));
+}
+
+/* ---- retries ---- */
+
 /*
  * Returns the Retry-After time of a refusal. It comes from a new choice of a
  * server: the time that one server announced does not apply to the caller, as
@@ -746,24 +1041,7 @@
 	    (!reached_server || within_budget(request)))
 		forward(request);
 	else
-		refuse(request,
-		       request->nr_maybe_run ? REFUSAL_SERVER_LOST : refusal,
-		       pick_retry_after_ms(request));
-}
-
-/*
- * Returns whether servers exited while they handled such requests. The request
- * is then not retried here; whether to send it again is left to the caller.
- */
-static bool crashes_forbid_retry(struct gw_request *request)
-{
-	uint32_t retry_after_ms;
-
-	if (check_quarantine(request, &retry_after_ms) == QUAR_NONE)
-		return false;
-	gw_count(request->gw, "retries_refused", "crashes");
-	request->is_trial = false;
-	return true;
+		relay_or_refuse(request, refusal, pick_retry_after_ms(request));
 }
 
 /*
@@ -842,6 +1120,7 @@
 	if (response->status < 300)
 		apply_limit_end(request, &read);
 	log_attempt(request, STEER_SUCCESS, "");
+	stop_waiting(request);
 	end_large_body(request);
 	gw_slot_end(gw, &request->slot,
 		    steer_attempt_end(gw->steer, request->choice.server,
@@ -885,6 +1164,37 @@
 	gw_count(gw, "kept_connections_broken", "");
 }
 
+/*
+ * A new connection counts as established only with a response: it may be reset
+ * as soon as it is accepted.
+ */
+static void update_reach(const struct gw_request *request,
+			 const struct http_outcome *outcome)
+{
+	struct reach *reach = gw_reach(request->gw);
+
+	switch (outcome->result) {
+	case HTTP_OK:
+	case HTTP_INCOMPLETE:
+	case HTTP_MALFORMED:
+	case HTTP_TOO_LARGE:
+		reach_heard(reach);
+		if (request->conn_info.is_opening)
+			reach_connected(reach);
+		break;
+	case HTTP_CONNECT_FAILED:
+		reach_connect_failed(reach);
+		break;
+	case HTTP_CLOSED:
+		if (request->conn_info.is_new)
+			reach_connect_failed(reach);
+		break;
+	case HTTP_TIMEOUT:
+	case HTTP_MEMORY:
+		break;
+	}
+}
+
 static void on_done(void *arg, struct http_conn *conn,
 		    const struct http_outcome *outcome)
 {
@@ -901,6 +1211,7 @@
 	struct gw_request *request = arg;
 	struct svc_answer read;
 
+	update_reach(request, outcome);
 	if (outcome->result == HTTP_OK) {
 		on_answer(request, conn, &outcome->response);
 		return;
@@ -953,15 +1264,6 @@
 			NULL);
 }
 
-static size_t answer_max_bytes(const struct gw *gw)
-{
-	uint64_t max_bytes =
-		gw->response_memory.max_bytes / RESPONSE_MEMORY_DIVISOR;
-
-	return max_bytes < RESPONSE_BYTES_MAX ? (size_t)max_bytes :
-						RESPONSE_BYTES_MAX;
-}
-
 static bool send_call(struct gw_request *request)
 {
 	const struct http_request *req = request->req;
@@ -983,7 +1285,7 @@
 		.response_max_bytes = answer_max_bytes(request->gw),
 		.response_memory = &request->gw->response_memory,
 		.timeout_ms = forward_info.left_ms,
-		.may_send = may_send,
+		.may_send = on_established,
 		.matches_request = is_own_response,
 		.request_sent = on_body_sent,
 		.done = on_done,
@@ -1010,12 +1312,11 @@
 	enum steer_verdict verdict = request->choice.verdict;
 
 	gw_count(request->gw, "verdicts", steer_verdict_name(verdict));
-	refuse(request,
-	       request->nr_maybe_run	  ? REFUSAL_SERVER_LOST :
-	       verdict == STEER_NO_SERVER ? REFUSAL_NO_SERVER :
-	       verdict == STEER_LIMITED	  ? REFUSAL_SERVER_LIMIT :
-					    REFUSAL_QUEUE_FULL,
-	       request->choice.retry_after_ms);
+	relay_or_refuse(request,
+			verdict == STEER_NO_SERVER ? REFUSAL_NO_SERVER :
+			verdict == STEER_LIMITED   ? REFUSAL_SERVER_LIMIT :
+						     REFUSAL_QUEUE_FULL,
+			request->choice.retry_after_ms);
 }
 
 /*
@@ -1168,6 +1469,9 @@
 	request->query.not_cached = steer_is_reported_uncached(
 		gw->steer, request->choice.server, &request->query);
 	steer_attempt_begin(gw->steer, request->choice.server, &request->query);
+	request->is_waiting = true;
+	request->is_sent = false;
+	reach_attempt_begin(gw_reach(gw));
 	if (!send_call(request)) {
 		end_attempt(request, STEER_UNREACHED, "no_connection", NULL);
 		return false;
@@ -1237,6 +1541,10 @@
 	struct gw *gw = request->gw;
 	enum next_step step;
 
+	if (request->relay_only || reach_state(gw_reach(gw)) == REACH_CUT) {
+		relay_unreachable(request);
+		return;
+	}
 	while (gw_now_ms(gw) < request->deadline_ms) {
 		if (refuse_quarantined(request))
 			return;
@@ -1248,6 +1556,10 @@
 			refuse_by_verdict(request);
 			return;
 		}
+		if (needs_connection(request)) {
+			relay_unreachable(request);
+			return;
+		}
 		step = ask_coordinator(request);
 		if (step == STEP_WAIT)
 			return;
@@ -1256,7 +1568,8 @@
 		if (send_attempt(request))
 			return;
 		if (++request->nr_not_run > NOT_RUN_ATTEMPTS_MAX) {
-			refuse(request, REFUSAL_NO_SERVER, RETRY_AFTER_MS);
+			relay_or_refuse(request, REFUSAL_NO_SERVER,
+					RETRY_AFTER_MS);
 			return;
 		}
 	}
@@ -1471,6 +1784,7 @@
 	request->query.draw = erand48(gw->random_state);
 	snprintf(request->limit_text, sizeof(request->limit_text), "none");
 	gw->adapter->read_request(req, &request->parsed);
+	request->was_relayed = gw_relay_was_relayed(req);
 	DL_APPEND(gw->requests, request);
 	gw->nr_requests++;
 	http_exchange_on_abort(exchange, on_abort, request);
@@ -1508,7 +1822,7 @@
 	struct gw_upstream *upstream =
 		get_upstream(request->gw, request->upstream);
 
-	if (upstream)
+	if (upstream && !request->relay_only)
 		budget_admit(&upstream->budget, gw_now_ms(request->gw));
 	if (!is_large(request) ||
 	    request->gw->nr_large_sending < LARGE_SENDING_MAX) {
@@ -1636,7 +1950,10 @@
 		refuse(request, REFUSAL_MEMORY, RETRY_AFTER_MS);
 		return;
 	}
-	wait_ms = customer ? take_token(request, customer) : 0;
+	request->relay_only = reach_state(gw_reach(request->gw)) == REACH_CUT;
+	wait_ms = customer && !request->relay_only ?
+			  take_token(request, customer) :
+			  0;
 	if (wait_ms)
 		wait_for_token(request, wait_ms);
 	else
@@ -1674,6 +1991,7 @@
 		struct gw_request *request = gw->requests;
 
 		http_conn_destroy(request->conn);
+		gw_relay_cancel(&request->relay);
 		log_request(request, 0, "cut_by_stop", "grace_is_over");
 		request_free(request);
 	}
