tests: Callers that cannot ask the directory while instances are cut off

With look-ups that omit instances without servers, no caller is left there 4 s after a cut, so the cases said nothing about requests that arrive all the same. One in three callers reaches no directory from the cut on and stays with the answer that it has.

--- a/tests/process_partition.py
+++ b/tests/process_partition.py
@@ -34,16 +34,23 @@
                 and self.retry_after is not None)
 
 
+def median_s(tries):
+    """Returns the median time until the answer, or 0 without tries."""
+    return sorted(t.took_s for t in tries)[len(tries) // 2] if tries else 0.0
+
+
 class Caller:
     """Asks the nearest directory for entry instances and keeps the answer for its
-    lifetime, or longer. Keeps connections, uses a random instance for each new one,
-    and leaves instances that a new answer does not name."""
+    lifetime, or longer, and as long as it cannot get a new one. Keeps connections, uses
+    a random instance for each new one, and leaves instances that a new answer does not
+    name."""
     NEW_CONNECTION_PART = 0.5
     KEPT_MAX = 3
 
     def __init__(self, cluster, zone, keeps_factor):
         self.cluster, self.zone, self.keeps_factor = cluster, zone, keeps_factor
         self.entries, self.valid_until = [], 0.0
+        self.reaches_directory = True
         self.failed = set()  # instances whose connections failed since the last answer
         self.kept = []       # idle connections: (instance, reader, writer)
         self.lock = asyncio.Lock()
@@ -58,7 +65,7 @@
 
     async def look_up(self):
         async with self.lock:
-            if time.monotonic() < self.valid_until:
+            if time.monotonic() < self.valid_until or not self.reaches_directory:
                 return
             for address in self.directories():
                 found = await self.cluster.look_up(self.zone, address)
@@ -147,6 +154,11 @@
             at += rng.expovariate(self.rate)
             await asyncio.sleep(max(0, at - time.monotonic()))
 
+    def lose_directory(self):
+        """From now on, one in three callers in each zone cannot ask the directory."""
+        for caller in self.callers[:len(self.callers) // 3]:
+            caller.reaches_directory = False
+
     async def stop(self):
         self.task.cancel()
         if self.running:
@@ -173,7 +185,7 @@
         failed, allowed = len(here) - served, 10 + len(tries) / 50
         print(f"# instances that were cut off served {served} of {len(here)} first tries, the "
               f"others {served_others} of {len(others)}; {failed} failed, {allowed:.0f} allowed; "
-              f"status: number {statuses}; slowest "
+              f"status: number {statuses}; median {median_s(here):.2f} s, slowest "
               f"{max((t.took_s for t in here), default=0):.2f} s", flush=True)
         assert len(others) >= 30 or not others, len(others)
         # Without others, the share that they would serve is 1.
@@ -188,6 +200,7 @@
     callers = Callers(cluster, 80, writes)
     await asyncio.sleep(WARM_UP_S)
     began = time.monotonic()
+    callers.lose_directory()
     await cluster.cut(entries, kind, servers)
     for server in cluster.servers.values():
         server.work_s = work_s
@@ -246,6 +259,7 @@
     callers = Callers(cluster, 80)
     await asyncio.sleep(WARM_UP_S)
     began = time.monotonic()
+    callers.lose_directory()
     for _ in range(4):
         await cluster.cut(["entry-0"], "silent")
         await asyncio.sleep(1.5)
