--- a/almondward/loop_private.h
+++ b/almondward/loop_private.h
@@ -13,6 +13,12 @@
 
 #define LOOP_LOG_COMPONENT "loop"
 
+union loop_sockaddr {
+	struct sockaddr any;
+	struct sockaddr_in in;
+	struct sockaddr_in6 in6;
+};
+
 struct loop_timer {
 	ev_timer watcher;
 	struct loop *loop;
@@ -33,6 +39,7 @@
 	struct loop_timer pace_timer;
 	/* The tables of libwebsockets have entries for descriptors below it. */
 	int descriptors_max;
+	union loop_sockaddr source; /* of connections, AF_UNSPEC: any */
 	ev_signal sigterm;
 	ev_signal sigint;
 	void (*stop_fn)(void *arg);
@@ -46,12 +53,6 @@
 	bool destroying;
 };
 
-union loop_sockaddr {
-	struct sockaddr any;
-	struct sockaddr_in in;
-	struct sockaddr_in6 in6;
-};
-
 /*
  * Parses "IP:port" or "[IP6]:port". Returns LOOP_OK or LOOP_ERR_ADDRESS.
  */
@@ -60,6 +61,12 @@
 void loop_format_address(const union loop_sockaddr *sa, char *out,
 			 size_t out_bytes);
 
+/*
+ * Opens a non-blocking TCP socket that connects to this family from the address
+ * set with loop_set_source(). Returns -1 on failure, with the cause in errno.
+ */
+int loop_open_socket(const struct loop *loop, int family);
+
 /*
  * For a timer that is embedded in another struct.
  */
