gateway: An instance without links to the servers names this in its refusal

A relayed request that reached another instance without links was refused with no_server, which may also mean that the upstream has no servers. The refusal is now servers_unreachable; the relaying instance avoids the other one for 1.5 s and tries up to four. After a refusal because the servers are busy only one more instance is tried.

--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -303,7 +303,7 @@
 /* ---- gateway_relay.c ---- */
 
 /* Instances that one request is relayed to, one after the other. */
-#define GW_RELAY_TRIED_MAX 2
+#define GW_RELAY_TRIED_MAX 4
 
 enum gw_relay_result {
 	GW_RELAY_ANSWERED, /* also with a refusal, when no instance is left */
--- a/almondward/gateway_relay.c
+++ b/almondward/gateway_relay.c
@@ -22,6 +22,8 @@
 #define IDLE_CONNECTIONS_MAX 8 /* to one instance */
 /* An instance that failed gets no relays for this long. */
 #define FAILED_AVOID_MS 1500
+/* Instances after which a request that was refused is tried once more. */
+#define BUSY_TRIED_MAX 1
 /* With less time left another relay is of no use. */
 #define RELAY_TIME_MIN_MS 100
 /* Errors with a longer body were not sent by an instance itself. */
@@ -398,24 +400,35 @@
 	relay->done(relay->arg, result, response);
 }
 
+/*
+ * The customer's rate is the same at all instances, and if the servers are busy,
+ * many instances are likely to find them so.
+ */
+static bool may_try_again(const struct gw_relay *relay, const char *error,
+			  bool is_unable)
+{
+	return is_unable || (relay->nr_tried <= BUSY_TRIED_MAX &&
+			     strcmp(error, refusal_name(REFUSAL_RATE)) != 0);
+}
+
 static void on_answer(struct gw_relay *relay, struct http_conn *conn,
 		      const struct http_response *response)
 {
 	char error[NAME_BYTES_MAX];
+	bool is_unable;
 
 	keep_or_close(relay, conn);
 	if (!read_refusal(relay->gw, response, error)) {
 		finish(relay, GW_RELAY_ANSWERED, response);
 		return;
 	}
-	/* It may be cut off from the servers as well, or be starting. */
-	if (!strcmp(error, refusal_name(REFUSAL_NO_SERVER)) ||
-	    !strcmp(error, refusal_name(REFUSAL_NO_LEASE)))
+	is_unable = !strcmp(error, refusal_name(REFUSAL_UNREACHABLE)) ||
+		    !strcmp(error, refusal_name(REFUSAL_NO_LEASE));
+	if (is_unable)
 		avoid(relay);
-	/* The rate is the same at all instances. */
-	if (!strcmp(error, refusal_name(REFUSAL_RATE)) ||
-	    !gw_relay_start(relay))
-		finish(relay, GW_RELAY_ANSWERED, response);
+	if (may_try_again(relay, error, is_unable) && gw_relay_start(relay))
+		return;
+	finish(relay, GW_RELAY_ANSWERED, response);
 }
 
 static void on_done(void *arg, struct http_conn *conn,
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -155,6 +155,9 @@
 				   "may be sent now." },
 	[REFUSAL_NO_SERVER] = { "servers", "No server of the upstream may be "
 					   "used." },
+	[REFUSAL_UNREACHABLE] = { "links", "The instance cannot reach any "
+					   "server, and no other instance "
+					   "can take the request." },
 	[REFUSAL_DEADLINE] = { "deadline", "The time of the caller or of the "
 					   "route is up." },
 	[REFUSAL_SERVER_LOST] = { "at_most_once",
@@ -840,7 +843,7 @@
 	case GW_RELAY_NOT_RUN:
 		refuse(request,
 		       request->nr_maybe_run ? REFUSAL_SERVER_LOST :
-					       REFUSAL_NO_SERVER,
+					       REFUSAL_UNREACHABLE,
 		       RETRY_AFTER_MS);
 		break;
 	case GW_RELAY_LOST:
@@ -918,7 +921,7 @@
 	if (!start_relay(request))
 		refuse(request,
 		       request->nr_maybe_run ? REFUSAL_SERVER_LOST :
-					       REFUSAL_NO_SERVER,
+					       REFUSAL_UNREACHABLE,
 		       RETRY_AFTER_MS);
 }
 
--- a/almondward/types.c
+++ b/almondward/types.c
@@ -25,6 +25,7 @@
 	[REFUSAL_QUEUE_TIMEOUT] = { "queue_timeout", 503 },
 	[REFUSAL_SERVER_LIMIT] = { "server_limit", 503 },
 	[REFUSAL_NO_SERVER] = { "no_server", 503 },
+	[REFUSAL_UNREACHABLE] = { "servers_unreachable", 503 },
 	[REFUSAL_LINK_BUDGET] = { "link_budget", 503 },
 	[REFUSAL_IDEMPOTENCY_KEY_MISSING] = { "idempotency_key_missing", 400 },
 	[REFUSAL_IDEMPOTENCY_KEY_BAD] = { "idempotency_key_bad", 400 },
--- a/almondward/types.h
+++ b/almondward/types.h
@@ -54,6 +54,7 @@
 	REFUSAL_QUEUE_FULL,
 	REFUSAL_QUEUE_TIMEOUT,
 	REFUSAL_NO_SERVER,
+	REFUSAL_UNREACHABLE, /* the instance has lost its links to the servers */
 	REFUSAL_SERVER_LIMIT, /* the servers limit their requests a second */
 	REFUSAL_LINK_BUDGET,
 	REFUSAL_IDEMPOTENCY_KEY_MISSING,
