--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -200,6 +200,17 @@
 	EXPECT_FALSE(platform_adapter()->is_withheld("X-Request-Id"));
 }
 
+// A request that is relayed keeps the caller's key, but not its deadline.
+TEST(Platform, RelayedRequestsGetTheTimeThatIsLeft)
+{
+	struct svc_forward_text text;
+	struct http_header header =
+		platform_adapter()->relay_deadline(1234, &text);
+
+	EXPECT_STREQ("X-Deadline-Ms", header.name);
+	EXPECT_STREQ("1234", header.value);
+}
+
 TEST(Platform, DecodesResponses)
 {
 	const struct http_header headers[] = { { "X-Request-Id", "id" },
