--- a/almondward/event.c
+++ b/almondward/event.c
@@ -23,8 +23,7 @@
 	[EVENT_INSTANCE] = "instance", [EVENT_LEADER] = "leader",
 	[EVENT_SHARE] = "share",       [EVENT_HEARTBEAT] = "heartbeat",
 	[EVENT_READ] = "read",	       [EVENT_CRASH] = "crash",
-	[EVENT_LOOP] = "loop",
-	[EVENT_REACH] = "reach",
+	[EVENT_LOOP] = "loop",	       [EVENT_REACH] = "reach",
 };
 
 struct rate {
