loop: Poll the sockets again before a late timer is reported

A process that is held up after it has polled its sockets does not know of data that arrives meanwhile, but finds its timers expired when it goes on: a processor share that is used up, a signal that interrupts the poll, or other callbacks of the same iteration. The order of sockets and timers does not help then: idle connections were closed with a whole request in the socket.

A timer that is more than 5 ms late now waits for one more poll; sockets that are ready then are handled first.

--- a/almondward/loop.c
+++ b/almondward/loop.c
@@ -14,6 +14,11 @@
 #define RECEIVE_BYTES_MAX 32768
 /* Watchers of sockets have libev's default priority 0. */
 #define TIMER_PRIORITY (-1)
+/*
+ * A timer that is later than this waits for another poll of the sockets: the
+ * process was held up, possibly after the last poll.
+ */
+#define TIMER_LATE_US 5000
 
 static const struct lws_protocols protocols[] = {
 	{ .name = "almondward", .callback = loop_lws_callback },
@@ -202,6 +207,11 @@
 		start_watcher(timer, now_us);
 		return;
 	}
+	if (now_us - timer->due_us > TIMER_LATE_US && !timer->polled) {
+		timer->polled = true;
+		start_watcher(timer, now_us);
+		return;
+	}
 	timer->due_us = 0;
 	timer->fn(timer->arg);
 }
@@ -254,6 +264,7 @@
 {
 	int64_t now_us = lws_now_usecs();
 
+	timer->polled = false;
 	timer->due_us = now_us + (int64_t)(delay_ms * 1000);
 	if (timer->armed_us && timer->armed_us <= timer->due_us)
 		return;
--- a/almondward/loop_private.h
+++ b/almondward/loop_private.h
@@ -20,6 +20,7 @@
 	void *arg;
 	int64_t due_us; /* 0: not set */
 	int64_t armed_us; /* due time of the watcher, 0: not started */
+	bool polled; /* late, and sockets were polled again */
 };
 
 struct loop {
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -21,6 +21,7 @@
 	bool register_abort = true;
 	bool defer_response = false;
 	bool destroy_in_handler = false;
+	std::function<void()> in_handler;
 	int aborted = 0;
 	int ids = 0;
 
@@ -77,6 +78,8 @@
 
 		self->requests.push_back(std::string(req->method) + " " +
 					 req->target + " " + body);
+		if (self->in_handler)
+			self->in_handler();
 		if (self->destroy_in_handler) {
 			http_server_destroy(self->server);
 			self->server = nullptr;
@@ -558,6 +561,27 @@
 	    << raw.closed << " received: " << raw.received;
 }
 
+// The same if the request arrives when the loop has already looked for ready
+// sockets and is then held up, here by another request.
+TEST(HttpServer, RequestReceivedBeforeLateTimerIsHandled)
+{
+	Server s(100);
+	RawConn busy(s.net, s.address()), raw(s.net, s.address());
+
+	ASSERT_TRUE(s.net.until(
+		[&] { return http_server_connections(s.server) == 2; }));
+	s.in_handler = [&] {
+		s.in_handler = nullptr;
+		raw.send("GET /x" + H + "\r\n");
+	};
+	busy.send("GET /" + H + "\r\n");
+	usleep(150000);
+	EXPECT_TRUE(s.net.until([&] {
+		return count(raw.received, "</x>") == 1;
+	})) << "closed: "
+	    << raw.closed << " received: " << raw.received;
+}
+
 // The rest of a request that arrived before its time limit must not be taken
 // for late because the process reads it late.
 TEST(HttpServer, RestReceivedDuringStallIsInTime)
