tests: Requests beside changes of the idle timeout, on a slow instance

150 callers keep to four fifths of the idle timeout while it is raised and lowered between 1 and 3 s, and the entry instance runs for a fifth of the time. Each request must get a response.

--- a/tests/process_cluster.py
+++ b/tests/process_cluster.py
@@ -4,6 +4,7 @@
 import asyncio
 import signal
 import sys
+import time
 
 import cluster as clusterlib
 import soak
@@ -92,6 +93,74 @@
     writer.close()
 
 
+class IdleCaller:
+    """Sends requests on a kept connection after pauses of up to four fifths of the
+    idle timeout, and counts those that get no response."""
+    def __init__(self, cluster, limit):
+        self.cluster, self.limit = cluster, limit
+        self.sent, self.cut = 0, []
+        self.task = asyncio.create_task(self.run())
+
+    async def pause(self, reader):
+        """Returns whether the connection may be used again."""
+        start = time.monotonic()
+        share = self.cluster.rng.uniform(0.1, 0.8)
+        while not reader.at_eof() and time.monotonic() < start + share * self.limit():
+            await asyncio.sleep(0.03)
+        self.pause_s = time.monotonic() - start
+        return not reader.at_eof() and self.pause_s <= 0.8 * self.limit()
+
+    async def run(self):
+        host, port = self.cluster.address("entry-0", "callers").rsplit(":", 1)
+        while True:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            self.pause_s = 0
+            try:
+                while True:
+                    writer.write(b"GET /none/1 HTTP/1.1\r\nHost: t.example\r\n\r\n")
+                    self.sent += 1
+                    await clusterlib.read_message(reader)
+                    if not await self.pause(reader):
+                        break
+            except (OSError, asyncio.IncompleteReadError):
+                self.cut.append(f"after {self.pause_s:.2f} s with a limit of {self.limit()} s")
+            writer.close()
+
+
+async def no_request_cut_beside_idle_changes(cluster):
+    """While the idle timeout is raised and lowered, a slow entry instance answers every
+    request that callers send within four fifths of the newest one."""
+    limit_s = 15
+
+    async def run_slowly():
+        # Runs for a fifth of the time.
+        while True:
+            cluster.signal("entry-0", signal.SIGSTOP)
+            await asyncio.sleep(0.16)
+            cluster.signal("entry-0", signal.SIGCONT)
+            await asyncio.sleep(0.04)
+
+    slow = asyncio.create_task(run_slowly())
+    callers = [IdleCaller(cluster, lambda: limit_s) for _ in range(150)]
+    try:
+        for version, seconds in enumerate([1, 3] * 6, 2):
+            limits = dict(clusterlib.CONFIG["limits"], idleTimeoutS=seconds)
+            answer = await cluster.put_config(
+                dict(clusterlib.CONFIG, version=version, limits=limits), version - 1)
+            assert answer.status == 200, answer.body
+            limit_s = seconds
+            await asyncio.sleep(1.5)
+        assert not any(caller.task.done() for caller in callers), "a caller has ended"
+    finally:
+        slow.cancel()
+        cluster.signal("entry-0", signal.SIGCONT)
+        for caller in callers:
+            caller.task.cancel()
+    cut = [one for caller in callers for one in caller.cut]
+    print(f"# {sum(caller.sent for caller in callers)} requests, {len(cut)} cut", flush=True)
+    assert not cut, cut[:5]
+
+
 async def replaced_control_instance(cluster):
     """A new control instance at another address replaces a lost one as a replica,
     so that the cluster survives the loss of a second one."""
@@ -187,6 +256,7 @@
     cases = [(case.__name__, lambda case=case: clusterlib.run_case(build, case))
              for case in (serves_and_reads_back, repeated_change,
                           survives_lost_disk_and_kill_of_all, raised_idle_timeout,
+                          no_request_cut_beside_idle_changes,
                           replaced_control_instance,
                           departed_server_gets_no_requests, stop_finishes_requests,
                           faulty_responses)]
