plan: Apply an accepted change without a copy of the plan

An entry instance copied its whole plan for each change and built the tables from the copy: 1.9 ms of a whole core for one route of 1,400 on this machine, 19 ms on a tenth of a core, in which it answers nobody, at all instances at about the same time and several times a second while changes come in series.

An accepted change is now merged in place, and only the tables are built again: 0.33 ms for one route of 1,400, 2.0 ms to add 1,400, 0.7 ms to remove them. Without memory the plan is left incomplete; the only caller exits then, as before. Control instances, which have to check a change first, still copy. The array of a host's routes grows by doubling.

PlanOfManyRoutes.TakesASmallChangeFasterThanACopy failed before: 0.17 s for a small change, 0.024 s for a copy (16,000 routes, with the sanitizers); now 0.010 s.

--- a/almondward/plan.c
+++ b/almondward/plan.c
@@ -92,10 +92,26 @@
 	return true;
 }
 
+static int append_route(struct plan_host *host, const Aw__PlanRoute *route)
+{
+	size_t nr = host->nr_routes;
+	const Aw__PlanRoute **routes;
+
+	/* The array doubles each time its size, a power of two, is reached. */
+	if (!(nr & (nr - 1))) {
+		routes = realloc(host->routes,
+				 (nr ? 2 * nr : 1) * sizeof(Aw__PlanRoute *));
+		if (!routes)
+			return -1;
+		host->routes = routes;
+	}
+	host->routes[host->nr_routes++] = route;
+	return 0;
+}
+
 static int add_route(struct plan_tables *tables, const Aw__PlanRoute *route)
 {
 	char name[HOST_BYTES_MAX] = "";
-	const Aw__PlanRoute **routes;
 	struct plan_host *host;
 
 	if (!normalize_host(route->host, name))
@@ -108,13 +124,7 @@
 		memcpy(host->name, name, sizeof(name));
 		HASH_ADD_STR(tables->hosts, name, host);
 	}
-	routes = realloc(host->routes,
-			 (host->nr_routes + 1) * sizeof(Aw__PlanRoute *));
-	if (!routes)
-		return -1;
-	host->routes = routes;
-	host->routes[host->nr_routes++] = route;
-	return 0;
+	return append_route(host, route);
 }
 
 static int longest_first(const void *a, const void *b)
@@ -615,10 +625,21 @@
 
 int plan_apply_accepted(struct plan *plan, const Aw__PlanChange *change)
 {
+	const char *conflicting_customer;
+
 	if (change->index <= plan->message->index)
 		return 0;
-	return index_and_install(plan,
-				 make_next_plan(plan, change, change->index));
+	if (change->whole)
+		return index_and_install(
+			plan, make_next_plan(plan, change, change->index));
+	/* The tables point to items that the merge frees. */
+	tables_release(&plan->tables);
+	if (merge(plan->message, change))
+		return -1;
+	plan->message->version = change->version;
+	plan->message->index = change->index;
+	return tables_build(&plan->tables, plan->message,
+			    &conflicting_customer);
 }
 
 int plan_replace(struct plan *plan, const Aw__Plan *from)
--- a/almondward/plan.h
+++ b/almondward/plan.h
@@ -47,8 +47,8 @@
 
 /*
  * Applies a change that the control instances have accepted. Returns -1 when
- * memory is exhausted; the plan is unchanged then. A change whose log index is
- * not above that of the plan is ignored.
+ * memory is exhausted; the plan is then incomplete and can only be destroyed.
+ * A change whose log index is not above that of the plan is ignored.
  */
 int plan_apply_accepted(struct plan *plan, const Aw__PlanChange *change);
 
--- a/tests/plan_test.cc
+++ b/tests/plan_test.cc
@@ -340,6 +340,26 @@
 	}
 };
 
+// An instance that copies its whole plan for each change answers nobody
+// meanwhile, also when the change itself is small.
+TEST_F(PlanOfManyRoutes, TakesASmallChangeFasterThanACopy)
+{
+	double copy_s = 1e9, change_s = 1e9;
+
+	merge_s(16000);
+	apply(4, 16000, 0);
+	for (uint64_t trial = 0; trial < 5; trial++) {
+		clock_t start = clock();
+		void *copy = message_copy(&plan_message(plan)->base);
+		copy_s = std::min(copy_s, (double)(clock() - start));
+		message_free(copy);
+		start = clock();
+		apply(5 + trial, 1, 0);
+		change_s = std::min(change_s, (double)(clock() - start));
+	}
+	EXPECT_LT(change_s, copy_s);
+}
+
 // Followers that merge in another order would differ from the leader.
 TEST_F(PlanOfManyRoutes, KeepTheirOrder)
 {
