gateway_crashes: A refused check proves an exit only if others are accepted

When an instance lost its links so that connections were reset and new ones refused, it took the servers for exited, and the requests that were in progress there for the cause: they were not retried, and the leader learned of crashes that had not happened.

A refused check now starts a round of probes; the exit is reported when a connection to another server succeeds after it, and dropped if none does.

Reach.ChecksAtOnceOnRequest: known within 100 ms.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -140,6 +140,7 @@
 	gw_request_tick(gw);
 	gossip_tick(gw->gossip);
 	gw_reach_tick(gw);
+	gw_crash_check_probes(gw);
 	gw_slots_tick(gw);
 	if (now_ms >= gw->last_slow_tick_ms + SLOW_TICK_MS) {
 		gw->last_slow_tick_ms = now_ms;
--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -27,6 +27,9 @@
 	char address[ADDRESS_BYTES_MAX];
 	uint64_t incarnation;
 	uint64_t repeat_ms; /* time of the repetition, 0: this is it */
+	/* When it was refused, 0: not yet. The server has exited if other
+	 * servers can be reached. */
+	uint64_t refused_ms;
 	struct gw_probe *prev, *next;
 };
 
@@ -110,8 +113,9 @@
 	at->probe = NULL;
 	switch (result) {
 	case LOOP_PROBE_REFUSED:
-		report_exit(gw, at->server_id, at->address, at->incarnation);
-		break;
+		at->refused_ms = gw_now_ms(gw);
+		reach_check(gw_reach(gw));
+		return;
 	case LOOP_PROBE_ACCEPTED:
 		if (at->repeat_ms)
 			return;
@@ -242,6 +246,35 @@
 	crs_check(gw->crs, fingerprint, &place, verdict);
 }
 
+/*
+ * An instance that has lost its links to the servers may have all connections
+ * refused; that does not mean that the servers have exited.
+ */
+static void judge_refused(struct gw_probe *at)
+{
+	const struct reach *reach = gw_reach(at->gw);
+
+	if (reach_state(reach) != REACH_OK)
+		gw_count(at->gw, "server_probes_left_out", "links");
+	else if (reach_connected_ms(reach) >= at->refused_ms)
+		report_exit(at->gw, at->server_id, at->address,
+			    at->incarnation);
+	else
+		return;
+	probe_free(at);
+}
+
+void gw_crash_check_probes(struct gw *gw)
+{
+	struct gw_probe *at, *next;
+
+	DL_FOREACH_SAFE(gw->probes, at, next)
+	{
+		if (at->refused_ms)
+			judge_refused(at);
+	}
+}
+
 void gw_crash_tick(struct gw *gw)
 {
 	struct gw_probe *at, *next;
@@ -249,7 +282,8 @@
 	crs_tick(gw->crs);
 	DL_FOREACH_SAFE(gw->probes, at, next)
 	{
-		if (at->probe || gw_now_ms(gw) < at->repeat_ms)
+		if (at->probe || at->refused_ms ||
+		    gw_now_ms(gw) < at->repeat_ms)
 			continue;
 		at->repeat_ms = 0;
 		send_probe(at);
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -266,6 +266,8 @@
 int gw_crash_open(struct gw *gw);
 void gw_crash_close(struct gw *gw);
 void gw_crash_tick(struct gw *gw);
+/* Evaluates checks whether servers have exited. Call every 20 ms. */
+void gw_crash_check_probes(struct gw *gw);
 /* Records that the connection broke after the request was sent. */
 void gw_crash_connection_broken(struct gw *gw,
 				const uint8_t fingerprint[HASH_BYTES],
--- a/almondward/reach.c
+++ b/almondward/reach.c
@@ -24,6 +24,7 @@
 	/* Since when no server has responded although attempts wait. */
 	uint64_t quiet_since_ms;
 	uint64_t heard_ms; /* the last response, 0: none */
+	uint64_t connected_ms; /* the last connection, 0: none */
 	bool connect_failed; /* since the last round began */
 
 	/* The current round of probes, in REACH_OK. */
@@ -115,6 +116,7 @@
 
 void reach_connected(struct reach *reach)
 {
+	reach->connected_ms = now_ms(reach);
 	if (reach->state == REACH_OK) {
 		end_round(reach);
 		return;
@@ -135,6 +137,17 @@
 	reach->nr_successes = 0;
 }
 
+void reach_check(struct reach *reach)
+{
+	reach->connect_failed = true;
+	reach->next_round_ms = 0;
+}
+
+uint64_t reach_connected_ms(const struct reach *reach)
+{
+	return reach->connected_ms;
+}
+
 void reach_probe_begin(struct reach *reach)
 {
 	reach->nr_probes++;
--- a/almondward/reach.h
+++ b/almondward/reach.h
@@ -55,6 +55,15 @@
 void reach_connected(struct reach *reach);
 void reach_connect_failed(struct reach *reach);
 
+/*
+ * Starts a round of probes with the next reach_tick(). It has found nothing
+ * when reach_connected_ms() is not before the call; otherwise the state
+ * changes.
+ */
+void reach_check(struct reach *reach);
+/* Returns when a connection was last established, 0: never. */
+uint64_t reach_connected_ms(const struct reach *reach);
+
 /*
  * Updates the state and returns the number of probes to start now. Call about
  * every 20 ms. nr_servers is the number of servers that can be probed. If
--- a/tests/process_relay.py
+++ b/tests/process_relay.py
@@ -136,9 +136,30 @@
     assert 0.6 * rate <= per_s <= 1.1 * rate + 20 / (ended - start), per_s
 
 
+async def lost_links_are_no_exits(cluster):
+    """All connections are reset and new ones refused, as if all servers had exited.
+    Requests in progress must not be held for the cause."""
+    for server in cluster.servers.values():
+        server.work_s = 0.3
+    load = Load(cluster, cluster.names("entry"), 60)
+    await asyncio.sleep(1.5)
+    await cluster.cut(cluster.names("entry"), "closed")
+    await asyncio.sleep(2)
+    await cluster.join()
+    await asyncio.sleep(1.5)
+    await load.stop()
+    lines = [line for text in cluster.logs().values() for line in text.splitlines()]
+    broken = sum("cause=closed" in line for line in lines)
+    ended = sum("event=crash" in line and "outcome=ended" in line for line in lines)
+    print(f"# {broken} requests lost their connection, {ended} servers were taken for ended",
+          flush=True)
+    assert broken and not ended, (broken, ended)
+
+
 def main():
     cases = [silent_connections, reset_connections, refused_connections,
-             region_without_links, large_bodies, rate_holds_for_relays]
+             region_without_links, large_bodies, rate_holds_for_relays,
+             lost_links_are_no_exits]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(
         sys.argv[1], case, nr_entries=4, nr_servers=6,
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -304,6 +304,27 @@
 	EXPECT_LT(time_to(REACH_OK, 5000), (uint64_t)RETURN_MAX_MS);
 }
 
+// A server that refuses connections has exited only if others accept them, which
+// must be known soon.
+TEST_F(Reach, ChecksAtOnceOnRequest)
+{
+	uint64_t asked_ms;
+
+	for (int i = 0; i < 5; i++) {
+		asked_ms = now();
+		reach_check(reach);
+		run(100);
+		EXPECT_GE(reach_connected_ms(reach), asked_ms);
+		EXPECT_EQ((size_t)i + 1, nr_probes);
+	}
+	link = LINK_REFUSING;
+	asked_ms = now();
+	reach_check(reach);
+	run(100);
+	EXPECT_LT(reach_connected_ms(reach), asked_ms);
+	EXPECT_EQ(REACH_NO_NEW, reach_state(reach));
+}
+
 // With fewer servers than a round has probes, all of them are probed.
 TEST_F(Reach, FewServers)
 {
