gateway_crashes: Check another server at the same time as the suspected one

The other server is now checked together with the suspected one, and the round decides only if that fails too.

--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -27,9 +27,10 @@
 	char address[ADDRESS_BYTES_MAX];
 	uint64_t incarnation;
 	uint64_t repeat_ms; /* time of the repetition, 0: this is it */
-	/* When it was refused, 0: not yet. The server has exited if other
-	 * servers can be reached. */
-	uint64_t refused_ms;
+	uint64_t refused_ms; /* when it was refused, 0: not yet */
+	/* Checks whether another server can be reached, NULL: finished. */
+	struct loop_probe *other;
+	bool other_accepted;
 	struct gw_probe *prev, *next;
 };
 
@@ -38,6 +39,7 @@
 	struct gw *gw = at->gw;
 
 	loop_probe_destroy(at->probe);
+	loop_probe_destroy(at->other);
 	DL_DELETE(gw->probes, at);
 	gw->nr_probes--;
 	free(at);
@@ -105,6 +107,49 @@
 	gw_crash_report(gw);
 }
 
+/*
+ * An instance that has lost its links to the servers may have all connections
+ * refused; that does not mean that the servers have exited. If the other server
+ * cannot be reached either, the probes of reach decide.
+ */
+static void judge_refused(struct gw_probe *at)
+{
+	const struct reach *reach = gw_reach(at->gw);
+
+	if (at->other_accepted || (reach_state(reach) == REACH_OK &&
+				   reach_connected_ms(reach) >= at->refused_ms))
+		report_exit(at->gw, at->server_id, at->address,
+			    at->incarnation);
+	else if (!at->other && reach_state(reach) != REACH_OK)
+		gw_count(at->gw, "server_probes_left_out", "links");
+	else
+		return;
+	probe_free(at);
+}
+
+static void on_other_probed(void *arg, enum loop_probe_result result)
+{
+	struct gw_probe *at = arg;
+
+	at->other = NULL;
+	at->other_accepted = result == LOOP_PROBE_ACCEPTED;
+	if (!at->other_accepted)
+		reach_check(gw_reach(at->gw));
+	if (at->refused_ms)
+		judge_refused(at);
+}
+
+static void probe_other_server(struct gw_probe *at)
+{
+	const char *address = gw_reach_other_server(at->gw, at->address);
+
+	if (!address || loop_probe(at->gw->loop, address, PROBE_TIMEOUT_MS,
+				   on_other_probed, at, &at->other)) {
+		at->other = NULL;
+		reach_check(gw_reach(at->gw));
+	}
+}
+
 static void on_probed(void *arg, enum loop_probe_result result)
 {
 	struct gw_probe *at = arg;
@@ -114,7 +159,9 @@
 	switch (result) {
 	case LOOP_PROBE_REFUSED:
 		at->refused_ms = gw_now_ms(gw);
-		reach_check(gw_reach(gw));
+		if (!at->other && !at->other_accepted)
+			reach_check(gw_reach(gw));
+		judge_refused(at);
 		return;
 	case LOOP_PROBE_ACCEPTED:
 		if (at->repeat_ms)
@@ -161,6 +208,7 @@
 	snprintf(at->address, sizeof(at->address), "%s", address);
 	DL_APPEND(gw->probes, at);
 	gw->nr_probes++;
+	probe_other_server(at);
 	send_probe(at);
 }
 
@@ -246,24 +294,6 @@
 	crs_check(gw->crs, fingerprint, &place, verdict);
 }
 
-/*
- * An instance that has lost its links to the servers may have all connections
- * refused; that does not mean that the servers have exited.
- */
-static void judge_refused(struct gw_probe *at)
-{
-	const struct reach *reach = gw_reach(at->gw);
-
-	if (reach_state(reach) != REACH_OK)
-		gw_count(at->gw, "server_probes_left_out", "links");
-	else if (reach_connected_ms(reach) >= at->refused_ms)
-		report_exit(at->gw, at->server_id, at->address,
-			    at->incarnation);
-	else
-		return;
-	probe_free(at);
-}
-
 void gw_crash_check_probes(struct gw *gw)
 {
 	struct gw_probe *at, *next;
