gateway_backend: Count connections that fail together once

Several requests whose connections to a server failed at the same time doubled the interval of its background connections each, so that the first one came after 2 s instead of 0.5 s.

--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -237,7 +237,9 @@
 
 	if (!backend)
 		return;
-	delay_check(gw, backend);
+	/* Requests whose connections fail together count once. */
+	if (gw_now_ms(gw) >= backend->next_check_ms)
+		delay_check(gw, backend);
 	if (took_ms >= CONNECT_TIMEOUT_MS)
 		close_backend_idle(backend);
 }
