gateway, entry: Send the last responses before the exit

An instance that stops exited as soon as no request and no connection was left. A response that closes its connection is no longer counted from the moment when it is queued, although most of a large one is sent later: a slow link takes 24 ms of it at a time, and the system takes no more than its send buffer. The caller got a part of the response, of a request that had run.

The process now also waits while a connection is closing.

answers_that_are_being_sent_at_the_exit failed before: a response of 400 kB that was complete at the instance 2.67 s after SIGTERM was cut when the process exited 0.24 s later.

--- a/almondward/entry.c
+++ b/almondward/entry.c
@@ -310,7 +310,8 @@
 	if (!entry->idle_since_ms)
 		entry->idle_since_ms = now_ms;
 	if (!agent_open_calls(entry->agent) &&
-	    !http_server_connections(entry->callers)) {
+	    !http_server_connections(entry->callers) &&
+	    !loop_is_closing(entry->loop)) {
 		loop_stop(entry->loop);
 		return;
 	}
--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -29,8 +29,8 @@
 /*
  * Graceful stop. Callers may use the address until the lifetime of their last
  * look-up has passed, so the instance listens for STOP_LISTEN_MS. After that
- * the process exits when no request or connection is left and STOP_IDLE_MS have
- * passed, or at the latest STOP_MARGIN_MS before the platform kills it.
+ * the process exits when no request, connection or unsent response is left and
+ * STOP_IDLE_MS have passed, or at the latest STOP_MARGIN_MS before the platform kills it.
  */
 #define STOP_LISTEN_MS 2600
 #define STOP_MARGIN_MS 400
@@ -124,6 +124,7 @@
 	http_server_drain(gw->callers, true);
 	/* A connection may carry an incomplete request, or none yet. */
 	if (!gw->nr_requests && !http_server_connections(gw->callers) &&
+	    !loop_is_closing(gw->loop) &&
 	    elapsed_ms >= STOP_LISTEN_MS + STOP_IDLE_MS)
 		loop_stop(gw->loop);
 	if (grace_ms > STOP_MARGIN_MS &&
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -210,6 +210,13 @@
 void loop_conn_close(struct loop_conn *conn);
 void loop_conn_close_after_send(struct loop_conn *conn);
 
+/*
+ * Returns true while a connection that was closed with
+ * loop_conn_close_after_send() is open. What it has not sent by the time of
+ * loop_destroy() is lost.
+ */
+bool loop_is_closing(const struct loop *loop);
+
 /*
  * Returns the address of the other end as "IP:port".
  */
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -484,6 +484,18 @@
 		shut_down_writing(conn);
 }
 
+bool loop_is_closing(const struct loop *loop)
+{
+	const struct loop_conn *conn;
+
+	DL_FOREACH(loop->conns, conn)
+	{
+		if (conn->state == CONN_LINGER)
+			return true;
+	}
+	return false;
+}
+
 void loop_conn_pause(struct loop_conn *conn, bool paused)
 {
 	if (conn->dead || !conn->wsi || conn->paused == paused)
--- a/tests/process_lost.py
+++ b/tests/process_lost.py
@@ -549,6 +549,15 @@
         test.check_none_lost()
 
 
+async def answers_that_are_being_sent_at_the_exit(test):
+    """A process that stops exited as soon as it had a response, although most of a
+    large one was not sent yet: the caller got a part of it."""
+    test.cluster.signal("entry-0", signal.SIGTERM)
+    await asyncio.sleep(1.8)
+    answer = await test.cluster.request("entry-0", "/write/1", "POST", bytes(400000))
+    assert answer and answer.status == 200, answer and answer.status
+
+
 async def late_event_loop_is_logged(test):
     """Without the log line, a request that was not read in time cannot be told from
     one that was lost."""
@@ -586,6 +595,7 @@
         changes_while_the_leader_stands_still: {},
         changes_on_slow_links: {"link_mbit": 30},
         requests_that_wait_while_their_idle_timeout_expires: {},
+        answers_that_are_being_sent_at_the_exit: {"link_mbit": 4, "nr_servers": 2},
         late_event_loop_is_logged: {"nr_servers": 2},
     }
 
