tests: Descriptors of connections that were closed

Since loop_conn_close() stops reading, only the pending write event closes the socket, so a state in which no write event occurs would leak it. No test covered that. The connections are paused, reset or half-closed by the other end, have a full queue, or linger; 50 of each are closed in a row, and one that waits for the other end to accept it.

--- a/tests/loop_test.cc
+++ b/tests/loop_test.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <cstring>
 
+#include <dirent.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/resource.h>
@@ -29,6 +30,17 @@
 	return fd;
 }
 
+static size_t nr_descriptors()
+{
+	DIR *dir = opendir("/proc/self/fd");
+	size_t nr = 0;
+
+	while (readdir(dir))
+		nr++;
+	closedir(dir);
+	return nr;
+}
+
 TEST(Loop, BadAddressesAreRefused)
 {
 	Net net;
@@ -444,3 +456,86 @@
 	EXPECT_TRUE(poll_fd.revents & POLLERR) << "was read and closed";
 	close(fd);
 }
+
+// A closed connection must release its descriptor whatever its state is.
+// Reading is stopped by then, so only a write event can close the socket.
+TEST(Loop, ClosedConnectionsReleaseDescriptors)
+{
+	Net net;
+	RawServer server(net);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in sa = {};
+	socklen_t len = sizeof(sa);
+	size_t before;
+
+	// Nothing accepts from it, so further connections stay incomplete.
+	sa.sin_family = AF_INET;
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ASSERT_EQ(0, bind(listener, (struct sockaddr *)&sa, sizeof(sa)));
+	ASSERT_EQ(0, listen(listener, 0));
+	ASSERT_EQ(0, getsockname(listener, (struct sockaddr *)&sa, &len));
+	std::string full = "127.0.0.1:" + std::to_string(ntohs(sa.sin_port));
+	RawConn filler(net, full.c_str(), 10000);
+	ASSERT_TRUE(net.until([&] { return filler.opened; }));
+	RawConn waiting(net, full.c_str(), 10000);
+	net.run_ms(20);
+	before = nr_descriptors();
+	for (int i = 0; i < 6; i++) {
+		RawConn connecting(net, full.c_str(), 10000);
+		std::vector<int> fds;
+
+		for (int k = 0; k < 50; k++) {
+			int accepted = server.accepted;
+			int fd = connect_blocking(server.address());
+
+			fds.push_back(fd);
+			ASSERT_TRUE(net.until(
+				[&] { return server.accepted > accepted; }));
+			struct loop_conn *conn = server.last.conn;
+			switch (i) {
+			case 0: // paused, with unread bytes
+				loop_conn_pause(conn, true);
+				send(fd, "x", 1, 0);
+				break;
+			case 1: // a full queue that nobody reads
+				server.last.send(std::string(8 << 20, 'x'));
+				net.run_ms(1);
+				break;
+			case 2: // reset by the other end, not yet noticed
+			{
+				struct linger linger = { 1, 0 };
+
+				setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
+					   sizeof(linger));
+				close(fd);
+				fds.pop_back();
+				break;
+			}
+			case 3: // half-closed by the other end, paused
+				loop_conn_pause(conn, true);
+				shutdown(fd, SHUT_WR);
+				break;
+			case 4: // lingers, with queued bytes
+				loop_conn_pause(conn, true);
+				server.last.send(std::string(8 << 20, 'x'));
+				server.last.conn = nullptr;
+				loop_conn_close_after_send(conn);
+				loop_conn_close(conn);
+				break;
+			case 5: // reset while paused
+				loop_conn_pause(conn, true);
+				net.run_ms(1);
+				close(fd);
+				fds.pop_back();
+				break;
+			}
+			server.last.close();
+		}
+		connecting.close();
+		net.run_ms(50);
+		EXPECT_EQ(before + fds.size(), nr_descriptors()) << i;
+		for (int fd : fds)
+			close(fd);
+	}
+	close(listener);
+}
