http_server: Handle requests in the socket while draining

While the server drains, a response closes its connection unless further bytes were read behind the request. Bytes that were in the socket but not read yet, as after a stall of the process, did not count: the request was read and discarded while the connection lingered, up to 1 s after it had been sent, and the caller got neither an answer nor a refusal.

They count now; the last response closes the connection as before. If it is the end of the connection that waits in the socket, reading it closes the connection.

DrainHandlesRequestsReceivedDuringStall failed before: the second request did not reach the handler.

--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -297,12 +297,14 @@
 }
 
 /*
- * Returns true if bytes were received after the current request.
+ * Returns true if bytes were received after the current request, also if they
+ * have not been read yet.
  */
 static bool has_pipelined(const struct server_conn *conn)
 {
-	return conn->in_process ? conn->more_bytes :
-				  conn->pipelined.len_bytes > 0;
+	return (conn->in_process ? conn->more_bytes :
+				   conn->pipelined.len_bytes > 0) ||
+	       loop_conn_has_input(conn->loop_conn);
 }
 
 void http_respond(struct http_exchange *exchange,
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -813,6 +813,27 @@
 	EXPECT_EQ(1u, count(raw.received, "Connection: close"));
 }
 
+// A stall is simulated by not running the loop. A request that is complete in
+// the socket when the server responds to the one before must not be discarded
+// with the connection.
+TEST(HttpServer, DrainHandlesRequestsReceivedDuringStall)
+{
+	Server s(3000);
+	RawConn raw(s.net, s.address());
+
+	s.defer_response = true;
+	raw.send("GET /1" + H + "\r\n");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 1; }));
+	http_server_drain(s.server, true);
+	raw.send("GET /2" + H + "\r\n");
+	Server::respond(s.pending[0], "one");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 2; }, 1500));
+	Server::respond(s.pending[1], "two");
+	EXPECT_TRUE(s.net.until([&] { return raw.closed; }));
+	EXPECT_EQ(1u, count(raw.received, "Connection: close"));
+	EXPECT_EQ(1u, count(raw.received, "two"));
+}
+
 // The gateway starts the shutdown in two steps and repeats the second one with
 // each tick; idle connections must be closed all the same.
 TEST(HttpServer, RepeatedDrainClosesIdleConnections)
