--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -267,6 +267,8 @@
 int gw_crash_open(struct gw *gw);
 void gw_crash_close(struct gw *gw);
 void gw_crash_tick(struct gw *gw);
+/* Evaluates checks whether servers have exited. Call every 20 ms. */
+void gw_crash_check_probes(struct gw *gw);
 /* Records that the connection broke after the request was sent. */
 void gw_crash_connection_broken(struct gw *gw,
 				const uint8_t fingerprint[HASH_BYTES],
@@ -298,6 +300,11 @@
 void gw_reach_close(struct gw *gw);
 /* Returns what is known about the links to the servers. */
 struct reach *gw_reach(const struct gw *gw);
+/*
+ * Returns the address of a server that can be probed, other than this one, or
+ * NULL. It is valid until the next change of the table.
+ */
+const char *gw_reach_other_server(struct gw *gw, const char *address);
 /* Call every 20 ms. */
 void gw_reach_tick(struct gw *gw);
 
