gateway: Do not send over connections whose end is in the socket

After a stall of the process the request of a caller may be handled before the event that says that the server has closed an idle connection. The request was then sent over that connection, and one that is not idempotent got a 502, as it might have run. The same holds for idle connections to other instances.

The socket is now asked before an idle connection is used. This is one system call for each attempt that uses an idle connection.

--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -87,6 +87,16 @@
 	return http_conn_reusable(at->conn) || http_conn_opening(at->conn);
 }
 
+/*
+ * Returns whether an established connection was closed by the server, or has
+ * bytes that belong to no request. After a stall the request may be handled
+ * before the event of the connection.
+ */
+static bool has_ended(const struct idle_conn *at)
+{
+	return http_conn_reusable(at->conn) && http_conn_has_input(at->conn);
+}
+
 static struct http_conn *take_idle(struct gw *gw, struct steer_server *server,
 				   uint64_t id_hash, uint64_t idle_max_ms,
 				   struct gw_conn_info *conn_info)
@@ -100,7 +110,8 @@
 		return NULL;
 	DL_FOREACH_SAFE(backend->idle, at, next)
 	{
-		if (!is_usable(at) || now_ms >= at->expires_ms) {
+		if (!is_usable(at) || now_ms >= at->expires_ms ||
+		    has_ended(at)) {
 			close_idle(backend, at);
 			continue;
 		}
--- a/almondward/gateway_relay.c
+++ b/almondward/gateway_relay.c
@@ -119,7 +119,7 @@
 
 	DL_FOREACH_SAFE(peer->idle, at, next)
 	{
-		if (!is_usable(gw, at->conn)) {
+		if (!is_usable(gw, at->conn) || http_conn_has_input(at->conn)) {
 			close_idle(peer, at);
 			continue;
 		}
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -245,6 +245,12 @@
  */
 bool http_conn_reusable(const struct http_conn *conn);
 
+/*
+ * Returns true if received bytes, or the end of the connection, have not been
+ * read yet. An idle connection with input must not be used for a request.
+ */
+bool http_conn_has_input(const struct http_conn *conn);
+
 /*
  * Returns true while the connection is being established and has no request.
  */
--- a/almondward/http_client.c
+++ b/almondward/http_client.c
@@ -457,6 +457,11 @@
 	return conn->state == CLIENT_IDLE && !conn->busy;
 }
 
+bool http_conn_has_input(const struct http_conn *conn)
+{
+	return conn->loop_conn && loop_conn_has_input(conn->loop_conn);
+}
+
 bool http_conn_opening(const struct http_conn *conn)
 {
 	return conn->state == CLIENT_CONNECTING && !conn->busy;
--- a/tests/process_lost.py
+++ b/tests/process_lost.py
@@ -567,6 +567,33 @@
         test.check_none_lost()
 
 
+async def server_connections_that_end_while_an_instance_stands_still(test):
+    """Requests were sent over kept connections whose end was already in the socket, so
+    that those that are not idempotent could not be sent again and failed."""
+    await test.prepare()
+    test.started = time.monotonic()
+    callers = [Caller(test, test.new_rng(), "entry-0", 0) for _ in range(4)]
+    for number, caller in enumerate(callers):
+        caller.choose = lambda path=f"/write/{number}": ("POST", path, b"")
+    for _ in range(3):
+        for caller in callers:
+            assert caller.is_open() or await caller.connect()
+        await asyncio.gather(*(caller.send() for caller in callers))
+        test.cluster.signal("entry-0", signal.SIGSTOP)
+        await asyncio.sleep(0.05)
+        for server in test.cluster.servers.values():
+            for writer in list(server.writers):
+                writer.close()
+        await asyncio.sleep(0.05)
+        sending = asyncio.gather(*(caller.send() for caller in callers))
+        await asyncio.sleep(0.05)
+        test.cluster.signal("entry-0", signal.SIGCONT)
+        await sending
+        await asyncio.sleep(0.3)
+    test.check_none_lost()
+    assert set(test.statuses) == {200}, test.statuses
+
+
 async def answers_that_are_being_sent_at_the_exit(test):
     """A process that stops exited as soon as it had a response, although most of a
     large one was not sent yet: the caller got a part of it."""
@@ -611,6 +638,7 @@
         changes_while_the_leader_stands_still: {},
         changes_on_slow_links: {"link_mbit": 30},
         requests_that_wait_while_their_idle_timeout_expires: {},
+        server_connections_that_end_while_an_instance_stands_still: {},
         answers_that_are_being_sent_at_the_exit: {"link_mbit": 4, "nr_servers": 2},
         late_event_loop_is_logged: {"nr_servers": 2},
     }
