--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -12,7 +12,7 @@
 /* Interval of work that goes through all connections or servers. */
 #define SLOW_TICK_MS 200
 /* A tick that is late by this time is logged: what arrived meanwhile was not
- * read, and callers count on being heard within a few hundred milliseconds. */
+ * read, and callers expect their requests to be read within a few hundred ms. */
 #define LATE_TICK_MS 100
 #define BODY_MAX_BYTES ((size_t)64 << 20)
 /* Bodies are buffered whole in a third of the memory limit; the rest is for
--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -121,8 +121,9 @@
 		if (idle_ms > idle_max_ms)
 			return NULL;
 		/*
-		 * An earlier response on the connection could not be told from
-		 * the response to a request without an id or with the same id.
+		 * An earlier response on the connection could not be
+		 * distinguished from the response to a request without an id or
+		 * with the same id.
 		 */
 		if (id_hash ? at->last_id_hash == id_hash : !at->is_new)
 			continue;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1191,7 +1191,7 @@
 	case HTTP_INCOMPLETE:
 	case HTTP_MALFORMED:
 	case HTTP_TOO_LARGE:
-		reach_heard(reach);
+		reach_received(reach);
 		if (request->conn_info.is_opening)
 			reach_connected(reach);
 		break;
--- a/almondward/reach.c
+++ b/almondward/reach.c
@@ -23,7 +23,7 @@
 	size_t nr_attempts; /* without an outcome */
 	/* Since when no server has responded although attempts wait. */
 	uint64_t quiet_since_ms;
-	uint64_t heard_ms; /* the last response, 0: none */
+	uint64_t received_ms; /* the last response, 0: none */
 	uint64_t connected_ms; /* the last connection, 0: none */
 	bool connect_failed; /* since the last round began */
 
@@ -81,10 +81,10 @@
 	       now_ms(reach) >= reach->quiet_since_ms + QUIET_MS;
 }
 
-void reach_heard(struct reach *reach)
+void reach_received(struct reach *reach)
 {
-	reach->heard_ms = now_ms(reach);
-	reach->quiet_since_ms = reach->heard_ms;
+	reach->received_ms = now_ms(reach);
+	reach->quiet_since_ms = reach->received_ms;
 	reach->round_interval_ms = QUIET_MS;
 	if (reach->state == REACH_CUT)
 		reach->state = REACH_NO_NEW;
@@ -229,7 +229,8 @@
 {
 	if (reach->state != REACH_NO_NEW)
 		return reach->state == REACH_OK;
-	if (reach->heard_ms && now_ms(reach) < reach->heard_ms + RESPONDED_MS)
+	if (reach->received_ms &&
+	    now_ms(reach) < reach->received_ms + RESPONDED_MS)
 		return true;
 	return idempotent && !reach->nr_attempts;
 }
--- a/almondward/reach.h
+++ b/almondward/reach.h
@@ -50,7 +50,7 @@
 void reach_attempt_end(struct reach *reach);
 
 /* Records that bytes of a response arrived. */
-void reach_heard(struct reach *reach);
+void reach_received(struct reach *reach);
 /* Record the outcome of opening a connection that is not a probe. */
 void reach_connected(struct reach *reach);
 void reach_connect_failed(struct reach *reach);
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -89,7 +89,7 @@
 		       old_respond()) {
 			responses.pop_front();
 			nr_waiting--;
-			reach_heard(reach);
+			reach_received(reach);
 			reach_attempt_end(reach);
 		}
 	}
@@ -210,7 +210,7 @@
 	EXPECT_TRUE(reach_may_use_established(reach, true));
 	reach_attempt_begin(reach);
 	EXPECT_FALSE(reach_may_use_established(reach, true));
-	reach_heard(reach);
+	reach_received(reach);
 	reach_attempt_end(reach);
 	EXPECT_TRUE(reach_may_use_established(reach, false));
 }
