--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,7 +7,8 @@
 All faults are injected from outside. Processes are killed, paused, stopped and
 restarted by signals, and the disks of control instances are wiped. Backend
 servers reset connections, truncate responses, shed requests, leave and join,
-and some name a limit of requests a second.
+and some name a limit of requests a second. Entry instances are cut off from
+servers for moments.
 Every response and every request that a server runs is checked.
 """
 import asyncio
@@ -136,6 +137,22 @@
                               f"requests in {clusterlib.LIMIT_WINDOW_S} s")
 
 
+async def cut_links(cluster, rng, end):
+    """Cuts some or all entry instances off from some or all servers for a moment,
+    again and again."""
+    loop = asyncio.get_running_loop()
+    entries = cluster.names("entry")
+    while loop.time() < end:
+        await asyncio.sleep(rng.random() * 2)
+        servers = list(cluster.servers.values())
+        if rng.random() < 0.5:
+            servers = rng.sample(servers, len(servers) // 2)
+        await cluster.cut(rng.sample(entries, rng.randrange(1, len(entries) + 1)),
+                          rng.choice(["silent", "reset", "refuse_new"]), servers)
+        await asyncio.sleep(rng.random() * 2)
+        await cluster.join()
+
+
 async def run_seed(cluster, seed):
     """Runs load, changes and faults for SECONDS. Afterwards all entry instances
     must serve again, and the plan must contain the last acknowledged change and
@@ -150,7 +167,8 @@
           for i in range(8)),
         change_plans(cluster, random.Random(rng.random()), end, state),
         inject_faults(cluster, random.Random(rng.random()), end),
-        name_limits(cluster, random.Random(rng.random()), end))
+        name_limits(cluster, random.Random(rng.random()), end),
+        cut_links(cluster, random.Random(rng.random()), end))
     for name in cluster.processes:
         cluster.signal(name, signal.SIGCONT)
     for server in cluster.servers.values():
