reach: Take links for lost only after probes failed for 0.9 s

A decision rested on one round, three probes of 300 ms, so two thirds of a second in which busy servers did not accept were enough. Rounds are now repeated each 250 ms with three probes at once, and the links count as lost only when they have failed for 0.9 s and no connection was established meanwhile.

Reach.BusyServersAreNotLostLinks and EstablishedConnectionEndsTheDoubt failed before.

--- a/almondward/reach.c
+++ b/almondward/reach.c
@@ -8,6 +8,12 @@
 /* Interval of rounds that find nothing, as while only slow requests run. */
 #define ROUND_INTERVAL_MAX_MS 1800
 #define PROBE_INTERVAL_MS 250 /* while no connection can be made */
+/*
+ * Where servers are too busy for most new connections, all probes of a round may
+ * fail although other connections succeed. The links count as lost only if
+ * rounds have failed for this long and no connection was established.
+ */
+#define FAILED_MIN_MS 900
 /* Established connections are in doubt when none responded for this long. */
 #define RESPONDED_MS 1000
 /*
@@ -29,6 +35,9 @@
 
 	/* The current round of probes, in REACH_OK. */
 	bool in_round;
+	/* Start of the first round since a connection was established, 0: none. */
+	uint64_t first_round_ms;
+	uint64_t round_ms; /* start of the current one */
 	size_t round_size;
 	size_t nr_failed; /* probes of the round */
 	uint64_t next_round_ms;
@@ -93,11 +102,19 @@
 static void end_round(struct reach *reach)
 {
 	reach->in_round = false;
+	reach->first_round_ms = 0;
 	reach->nr_failed = 0;
 	reach->connect_failed = false;
 	reach->next_round_ms = now_ms(reach) + reach->round_interval_ms;
 }
 
+static void repeat_round(struct reach *reach)
+{
+	reach->in_round = false;
+	reach->connect_failed = true;
+	reach->next_round_ms = reach->round_ms + PROBE_INTERVAL_MS;
+}
+
 static void lose(struct reach *reach)
 {
 	uint64_t at_ms = now_ms(reach);
@@ -164,13 +181,18 @@
 		return;
 	}
 	reach->nr_successes = 0;
-	if (reach->in_round && ++reach->nr_failed >= reach->round_size)
+	if (!reach->in_round || ++reach->nr_failed < reach->round_size)
+		return;
+	if (now_ms(reach) >= reach->first_round_ms + FAILED_MIN_MS)
 		lose(reach);
+	else
+		repeat_round(reach);
 }
 
 /*
  * A round consists of one probe and, if that fails, the others at once: most
- * rounds find nothing, and a probe costs a server time.
+ * rounds find nothing, and a probe costs a server time. After a round that failed
+ * all probes start at once.
  */
 static size_t probes_of_round(struct reach *reach, size_t nr_servers,
 			      bool *new_round)
@@ -180,6 +202,9 @@
 		    now_ms(reach) < reach->next_round_ms || !nr_servers)
 			return 0;
 		reach->in_round = true;
+		reach->round_ms = now_ms(reach);
+		if (!reach->first_round_ms)
+			reach->first_round_ms = reach->round_ms;
 		reach->connect_failed = false;
 		reach->nr_failed = 0;
 		reach->round_size = nr_servers < REACH_ROUND_PROBES ?
@@ -189,7 +214,9 @@
 	}
 	if (reach->nr_probes)
 		return 0;
-	return reach->nr_failed ? reach->round_size - reach->nr_failed : 1;
+	if (!reach->nr_failed && reach->round_ms == reach->first_round_ms)
+		return 1;
+	return reach->round_size - reach->nr_failed;
 }
 
 size_t reach_tick(struct reach *reach, size_t nr_servers, bool *new_round)
