gateway: Count connections of requests before the response

A connection that was opened for a request counted as established only with the response.

A connection now counts when it was not reset within 50 ms and the round-trip time after the request was sent. The settle time has one definition for probes, checks and requests.

--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -23,8 +23,6 @@
  * reached is there again; it doubles with each failure. */
 #define CHECK_INTERVAL_MIN_MS 500
 #define CHECK_INTERVAL_MAX_MS 2000
-/* A connection that was reset at once was not accepted by the server. */
-#define CHECK_SETTLE_MS 50
 
 struct idle_conn {
 	struct http_conn *conn;
@@ -288,7 +286,7 @@
 
 	if (http_conn_opening(conn) ||
 	    (http_conn_reusable(conn) &&
-	     now_ms < http_conn_idle_since_ms(conn) + CHECK_SETTLE_MS))
+	     now_ms < http_conn_idle_since_ms(conn) + GW_SETTLE_MS))
 		return;
 	backend->check = NULL;
 	if (http_conn_reusable(conn)) {
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -232,6 +232,8 @@
  * idempotent. Goes through all requests.
  */
 void gw_request_check_silent(struct gw *gw);
+/* Records new connections of requests that count as established. */
+void gw_request_check_connected(struct gw *gw);
 /* Handles requests that waited too long for a token or for the link. */
 void gw_request_tick(struct gw *gw);
 /* Takes the coordinator's reply; NULL: none was received in time. */
@@ -296,6 +298,10 @@
 
 /* ---- gateway_reach.c ---- */
 
+/* A connection that is reset within this time, and within the round-trip time
+ * if a request was sent, was not accepted by the server. */
+#define GW_SETTLE_MS 50
+
 int gw_reach_open(struct gw *gw);
 void gw_reach_close(struct gw *gw);
 /* Returns what is known about the links to the servers. */
--- a/almondward/gateway_reach.c
+++ b/almondward/gateway_reach.c
@@ -12,8 +12,6 @@
 /* In addition to twice the round-trip time, which covers a server that accepts
  * late. */
 #define PROBE_TIMEOUT_MS 300
-/* A connection that was reset at once was not accepted by the server. */
-#define PROBE_SETTLE_MS 50
 
 struct gw_reach_probe {
 	struct http_conn *conn; /* NULL: unused */
@@ -177,7 +175,7 @@
 
 	if (http_conn_opening(conn) ||
 	    (connected &&
-	     gw_now_ms(gw) < http_conn_idle_since_ms(conn) + PROBE_SETTLE_MS))
+	     gw_now_ms(gw) < http_conn_idle_since_ms(conn) + GW_SETTLE_MS))
 		return;
 	probe->conn = NULL;
 	server = connected ? steer_find(gw->steer, probe->server_id) : NULL;
@@ -211,6 +209,7 @@
 	bool new_round;
 	size_t nr;
 
+	gw_request_check_connected(gw);
 	for (size_t i = 0; i < REACH_PROBES_MAX; i++)
 		if (reach->probes[i].conn)
 			check_probe(gw, &reach->probes[i]);
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -105,6 +105,10 @@
 	struct gw_conn_info conn_info;
 	bool is_waiting; /* the current attempt is counted in gw_reach() */
 	bool is_sent; /* bytes of the current attempt may have been sent */
+	/* When the new connection of the current attempt counts as established,
+	 * 0: it is not new, not open yet, or was counted. */
+	uint64_t settles_ms;
+	bool has_settled; /* it was counted */
 	struct steer_attempt attempt; /* the current one */
 	uint64_t first_sent_ms; /* time of the first attempt, 0: none yet */
 	uint32_t nr_maybe_run; /* attempts that may have run the request */
@@ -643,9 +647,34 @@
 	struct gw_request *request = arg;
 
 	request->is_sent = may_send(arg);
+	if (request->is_sent && request->conn_info.is_opening)
+		request->settles_ms = gw_now_ms(request->gw) + GW_SETTLE_MS +
+				      steer_rtt_ms(request->gw->steer,
+						   request->choice.server);
 	return request->is_sent;
 }
 
+/*
+ * Work can take seconds, so a connection counts as established before the
+ * response: where all connections are new, responses alone would show too late
+ * that the servers can be reached.
+ */
+void gw_request_check_connected(struct gw *gw)
+{
+	uint64_t now_ms = gw_now_ms(gw);
+	struct gw_request *request;
+
+	DL_FOREACH(gw->requests, request)
+	{
+		if (!request->conn || !request->settles_ms ||
+		    now_ms < request->settles_ms)
+			continue;
+		request->settles_ms = 0;
+		request->has_settled = true;
+		reach_connected(gw_reach(gw));
+	}
+}
+
 /*
  * A response without an id may be to an earlier request, which only its body
  * could show. A request without an id is sent over a new connection, which has
@@ -1178,8 +1207,7 @@
 }
 
 /*
- * A new connection counts as established only with a response: it may be reset
- * as soon as it is accepted.
+ * A connection that was reset at once was not accepted by the server.
  */
 static void update_reach(const struct gw_request *request,
 			 const struct http_outcome *outcome)
@@ -1192,14 +1220,14 @@
 	case HTTP_MALFORMED:
 	case HTTP_TOO_LARGE:
 		reach_received(reach);
-		if (request->conn_info.is_opening)
+		if (request->conn_info.is_opening && !request->has_settled)
 			reach_connected(reach);
 		break;
 	case HTTP_CONNECT_FAILED:
 		reach_connect_failed(reach);
 		break;
 	case HTTP_CLOSED:
-		if (request->conn_info.is_new)
+		if (request->conn_info.is_new && !request->has_settled)
 			reach_connect_failed(reach);
 		break;
 	case HTTP_TIMEOUT:
@@ -1484,6 +1512,8 @@
 	steer_attempt_begin(gw->steer, request->choice.server, &request->query);
 	request->is_waiting = true;
 	request->is_sent = false;
+	request->settles_ms = 0;
+	request->has_settled = false;
 	reach_attempt_begin(gw_reach(gw));
 	if (!send_call(request)) {
 		end_attempt(request, STEER_UNREACHED, "no_connection", NULL);
--- a/almondward/reach.h
+++ b/almondward/reach.h
@@ -6,7 +6,8 @@
  * new ones fail. When a connection fails, or no server responds although
  * requests wait, the owner opens probe connections to a few servers, which
  * decide. A server that is down cannot be mistaken for lost links, since several
- * servers must be unreachable at once.
+ * servers must be unreachable at once; nor can servers that are too busy for most
+ * new connections, since no connection at all may have been established lately.
  *
  * The module does no I/O and reads the time from a clock object.
  */
@@ -51,7 +52,11 @@
 
 /* Records that bytes of a response arrived. */
 void reach_received(struct reach *reach);
-/* Record the outcome of opening a connection that is not a probe. */
+/*
+ * Record the outcome of opening a connection that is not a probe. It is
+ * connected when it was established and not reset at once; the response to its
+ * request may take much longer.
+ */
 void reach_connected(struct reach *reach);
 void reach_connect_failed(struct reach *reach);
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -125,6 +125,14 @@
     writer.transport.abort()
 
 
+async def has_input(reader, timeout_s):
+    """Returns whether bytes arrive within this time. They are not read."""
+    end = time.monotonic() + timeout_s
+    while not reader._buffer and time.monotonic() < end:
+        await asyncio.sleep(0.002)
+    return bool(reader._buffer)
+
+
 def peer_ip(writer):
     peer = writer.get_extra_info("peername")  # None if it was closed before the accept
     return peer[0] if peer else ""
@@ -204,6 +212,8 @@
         self.sources = {}         # request id: IP address that it arrived from last
         self.cut = None           # see cut_off()
         self.cut_sources = set()  # IP addresses that are cut off
+        self.accept_share = 1.0   # part of the new connections that is not reset at once
+        self.resets_unused = False  # resets connections without a request within 20 ms
         self.last_arrival = 0.0   # when the last request arrived
         self.paused_at = None     # when the current backoff was requested
         self.within_pause = 0     # requests received 0.5 to 3 s after that
@@ -343,13 +353,18 @@
             await asyncio.sleep(0.01)
 
     async def serve_connection(self, reader, writer):
-        if self.cut == "refuse_new" and peer_ip(writer) in self.cut_sources:
+        if ((self.cut == "refuse_new" and peer_ip(writer) in self.cut_sources)
+                or (self.accept_share < 1
+                    and self.cluster.rng.random() >= self.accept_share)):
             reset_connection(writer)
             return
         if peer_ip(writer) not in self.cut_sources:
             take_packets(writer.get_extra_info("socket"))
         self.writers.add(writer)
         try:
+            if self.resets_unused and not await has_input(reader, 0.02):
+                reset_connection(writer)
+                return
             while True:
                 first, headers, body = await read_message(reader)
                 if not await self.handle_request(writer, first, headers, body):
--- a/tests/process_partition.py
+++ b/tests/process_partition.py
@@ -270,6 +270,52 @@
     callers.check_first_tries(["entry-0"], began + CONTACT_S, ended)
 
 
+def break_connections(cluster, work_s):
+    """All servers reset their connections, as after a loss of power, and requests take
+    this long from now on."""
+    for server in cluster.servers.values():
+        server.work_s = work_s
+        for writer in list(server.writers):
+            clusterlib.reset_connection(writer)
+
+
+def check_no_lost_links(cluster):
+    """An instance that takes busy servers for lost links ends requests that run and
+    burdens the others with its own."""
+    lost = [line for log in cluster.logs().values() for line in log.splitlines()
+            if "event=reach" in line]
+    assert not lost, f"{len(lost)} changes, the first: {lost[0]}"
+
+
+async def busy_servers_are_not_lost_links(cluster):
+    """Servers reset half of the new connections, so all of a few probes may fail."""
+    callers = Callers(cluster, 20)
+    await asyncio.sleep(WARM_UP_S)
+    break_connections(cluster, 1.5)
+    for server in cluster.servers.values():
+        server.accept_share = 0.5
+    await asyncio.sleep(CUT_S)
+    await callers.stop()
+    print(f"# {sum(t.status == 200 for t in callers.tries)} of {len(callers.tries)} served",
+          flush=True)
+    check_no_lost_links(cluster)
+
+
+async def connections_of_requests_show_the_links(cluster):
+    """Servers reset connections without a request, so all probes fail. Requests run over
+    new connections, and their responses are later than the decision about the links."""
+    await asyncio.gather(*(cluster.request("entry-0", f"/read/{i}") for i in range(20)))
+    break_connections(cluster, 2.2)
+    for server in cluster.servers.values():
+        server.resets_unused = True
+    tasks = []
+    for i in range(40):
+        tasks.append(asyncio.create_task(cluster.request("entry-0", f"/read/{i}")))
+        await asyncio.sleep(0.05)
+    check_no_lost_links(cluster)
+    await asyncio.gather(*tasks)
+
+
 async def check_all_cut(cluster, kind):
     """No instance reaches a server: requests are refused at once, and served again soon
     after the links are joined."""
@@ -356,6 +402,7 @@
     cases = [one_instance_is_cut_off, two_instances_are_cut_off, zone_is_cut_off,
              region_is_cut_off, connections_are_reset, new_connections_are_refused,
              half_of_the_servers_are_cut_off, writes_while_cut_off, links_flap,
+             busy_servers_are_not_lost_links, connections_of_requests_show_the_links,
              all_instances_are_cut_off, servers_refuse_all_connections, instance_returns]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(
