tests: Report a script that does not end instead of failing without a summary

The runner itself ended with an exception then and printed neither the output of the script nor the results of the others, so nothing showed which case was waiting, or for what.

A program that does not end is now one failed result. Scripts get an abort signal first, upon which Python prints what each thread is waiting for.

--- a/tests/run_tests.py
+++ b/tests/run_tests.py
@@ -9,11 +9,14 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
+import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+TIMEOUT_S = 900  # of one test program or script
 
 
 def known_red():
@@ -28,13 +31,36 @@
     }
 
 
+def run_limited(command):
+    """Runs a command for at most TIMEOUT_S. Returns its exit status, or None if it did
+    not end, and its output. A script that does not end prints what it waits for."""
+    with tempfile.TemporaryFile() as output:
+        process = subprocess.Popen(command, stdout=output, stderr=subprocess.STDOUT)
+        try:
+            status = process.wait(TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            status = None
+            process.send_signal(signal.SIGABRT)
+            time.sleep(1)
+            process.kill()
+            process.wait()
+        output.seek(0)
+        return status, output.read().decode(errors="replace")
+
+
+def add_exit(name, status, results):
+    """Adds a failure if the program did not end, or failed without a failed test."""
+    if status is None:
+        results.append((f"{name}:did not end within {TIMEOUT_S} s", False))
+    elif status != 0 and all(ok for _, ok in results):
+        results.append((f"{name}:exit status {status}", False))
+
+
 def run_gtest(program):
     """Runs one test program; returns a list of (name, passed) and its output."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
-        process = subprocess.run(
-            [str(program), "--gtest_brief=1", f"--gtest_output=json:{report.name}"],
-            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
-            errors="replace", timeout=900)
+        status, output = run_limited(
+            [str(program), "--gtest_brief=1", f"--gtest_output=json:{report.name}"])
         results = []
         try:
             data = json.load(open(report.name))
@@ -45,25 +71,22 @@
                 name = f"{program.name}:{suite['name']}.{case['name']}"
                 if case.get("status") == "RUN":
                     results.append((name, not case.get("failures")))
-        if process.returncode != 0 and all(ok for _, ok in results):
-            results.append((f"{program.name}:exit status {process.returncode}", False))
-        return results, process.stdout
+        add_exit(program.name, status, results)
+        return results, output
 
 
 def run_script(script, build):
     """Runs one test script; returns a list of (name, passed) and its output."""
-    process = subprocess.run([sys.executable, str(script), str(build)],
-                          stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
-                          text=True, errors="replace", timeout=900)
+    status, output = run_limited(
+        [sys.executable, "-X", "faulthandler", str(script), str(build)])
     results = []
-    for line in process.stdout.splitlines():
+    for line in output.splitlines():
         if line.startswith(("ok ", "not ok ")):
             passed = line.startswith("ok ")
             name = line[3 if passed else 7:].split("  # ")[0].strip()
             results.append((f"{script.name}:{name}", passed))
-    if process.returncode != 0 and all(ok for _, ok in results):
-        results.append((f"{script.name}:exit status {process.returncode}", False))
-    return results, process.stdout
+    add_exit(script.name, status, results)
+    return results, output
 
 
 def main():
