reach: Let probes wait as long as connections of requests

At 36 to 54 s, 9 to 15 of 33 logged instances counted their links as lost at any time and did not get back: a probe failed after 300 ms and twice the round-trip time, a connection of a request after 700 ms, and busy servers accept connections that late. The others got the relays and the callers of the look-ups in addition.

Connections of requests, checks and probes now have one timeout. So that a cut is still noticed as soon, the other probes of a round start after 250 ms without an answer instead of the failure of the first one; a silent cut is noticed after 1.4 s in the unit test, in which probes now hang for 700 ms.

A stand-in server cannot delay the handshake of the kernel, so no test without the bench shows the fault.

--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -5,9 +5,6 @@
 
 #include "gateway_internal.h"
 
-/* A server on another continent accepts a connection in less than 300 ms; one
- * that takes longer than this is down or unreachable. */
-#define CONNECT_TIMEOUT_MS 700
 /* Servers close idle connections after some seconds. A connection that was idle
  * for this long is closed here, before the server closes it. */
 #define IDLE_MAX_MS 20000
@@ -148,7 +145,7 @@
 		*conn_info = (struct gw_conn_info){ .is_new = true,
 						    .is_opening = true };
 		if (http_conn_create(gw->loop, steer_server_address(server),
-				     CONNECT_TIMEOUT_MS, &conn))
+				     GW_CONNECT_TIMEOUT_MS, &conn))
 			return NULL;
 	}
 	gw_count(gw, "backend_connections",
@@ -191,7 +188,7 @@
 
 	/* After a failure the call opens a connection itself. */
 	if (!http_conn_create(gw->loop, steer_server_address(server),
-			      CONNECT_TIMEOUT_MS, &conn))
+			      GW_CONNECT_TIMEOUT_MS, &conn))
 		add_idle(gw, server, conn, IDLE_MAX_MS, true, 0);
 }
 
@@ -254,14 +251,14 @@
 	/* Requests whose connections fail together count once. */
 	if (gw_now_ms(gw) >= backend->next_check_ms)
 		delay_check(gw, backend);
-	if (took_ms >= CONNECT_TIMEOUT_MS)
+	if (took_ms >= GW_CONNECT_TIMEOUT_MS)
 		close_backend_idle(backend);
 }
 
 static void start_check(struct gw *gw, struct gw_backend *backend)
 {
 	if (http_conn_create(gw->loop, steer_server_address(backend->server),
-			     CONNECT_TIMEOUT_MS, &backend->check)) {
+			     GW_CONNECT_TIMEOUT_MS, &backend->check)) {
 		backend->check = NULL;
 		delay_check(gw, backend);
 		return;
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -296,6 +296,13 @@
 /* Sends pending reports to the leader, or to the instances without one. */
 void gw_crash_report(struct gw *gw);
 
+/*
+ * A server on another continent accepts a connection in less than 300 ms; one
+ * that takes longer than this is down or unreachable. Probes wait as long as
+ * connections of requests, so that they do not fail where those succeed.
+ */
+#define GW_CONNECT_TIMEOUT_MS 700
+
 /* ---- gateway_reach.c ---- */
 
 /* A connection that is reset within this time, and within the round-trip time
--- a/almondward/gateway_reach.c
+++ b/almondward/gateway_reach.c
@@ -9,10 +9,6 @@
  * Probes servers for reach, and applies changes of its state.
  */
 
-/* In addition to twice the round-trip time, which covers a server that accepts
- * late. */
-#define PROBE_TIMEOUT_MS 300
-
 struct gw_reach_probe {
 	struct http_conn *conn; /* NULL: unused */
 	char server_id[NAME_BYTES_MAX];
@@ -136,7 +132,7 @@
 	struct gw_reach_probe *probe = find_unused(reach);
 	struct choice choice = { .gw = gw };
 	const struct steer_server *server;
-	uint32_t timeout_ms = PROBE_TIMEOUT_MS;
+	uint32_t timeout_ms = GW_CONNECT_TIMEOUT_MS;
 
 	topo_each(gw->topo, consider, &choice);
 	reach_probe_begin(reach->reach);
--- a/almondward/reach.c
+++ b/almondward/reach.c
@@ -7,7 +7,7 @@
 #define QUIET_MS 450
 /* Interval of rounds that find nothing, as while only slow requests run. */
 #define ROUND_INTERVAL_MAX_MS 1800
-#define PROBE_INTERVAL_MS 250 /* while no connection can be made */
+#define PROBE_INTERVAL_MS 250 /* while no connection is established */
 /*
  * Where servers are too busy for most new connections, all probes of a round may
  * fail although other connections succeed. The links count as lost only if
@@ -39,7 +39,7 @@
 	uint64_t first_round_ms;
 	uint64_t round_ms; /* start of the current one */
 	size_t round_size;
-	size_t nr_failed; /* probes of the round */
+	size_t nr_started, nr_failed; /* probes of the round */
 	uint64_t next_round_ms;
 	uint64_t round_interval_ms; /* after rounds that found nothing */
 
@@ -189,34 +189,43 @@
 		repeat_round(reach);
 }
 
+static void begin_round(struct reach *reach, size_t nr_servers)
+{
+	reach->in_round = true;
+	reach->round_ms = now_ms(reach);
+	if (!reach->first_round_ms)
+		reach->first_round_ms = reach->round_ms;
+	reach->connect_failed = false;
+	reach->nr_started = reach->nr_failed = 0;
+	reach->round_size = nr_servers < REACH_ROUND_PROBES ?
+				    nr_servers :
+				    REACH_ROUND_PROBES;
+}
+
 /*
- * A round consists of one probe and, if that fails, the others at once: most
- * rounds find nothing, and a probe costs a server time. After a round that failed
- * all probes start at once.
+ * A round consists of one probe and, if that does not succeed soon, the others:
+ * most rounds find nothing, and a probe costs a server time. After a round that
+ * failed all probes start at once.
  */
 static size_t probes_of_round(struct reach *reach, size_t nr_servers,
 			      bool *new_round)
 {
+	size_t nr = 0;
+
 	if (!reach->in_round) {
 		if ((!reach->connect_failed && !is_quiet(reach)) ||
 		    now_ms(reach) < reach->next_round_ms || !nr_servers)
 			return 0;
-		reach->in_round = true;
-		reach->round_ms = now_ms(reach);
-		if (!reach->first_round_ms)
-			reach->first_round_ms = reach->round_ms;
-		reach->connect_failed = false;
-		reach->nr_failed = 0;
-		reach->round_size = nr_servers < REACH_ROUND_PROBES ?
-					    nr_servers :
-					    REACH_ROUND_PROBES;
+		begin_round(reach, nr_servers);
 		*new_round = true;
 	}
-	if (reach->nr_probes)
-		return 0;
-	if (!reach->nr_failed && reach->round_ms == reach->first_round_ms)
-		return 1;
-	return reach->round_size - reach->nr_failed;
+	if (!reach->nr_started && reach->round_ms == reach->first_round_ms)
+		nr = 1;
+	else if (!reach->nr_started || reach->nr_failed ||
+		 now_ms(reach) >= reach->round_ms + PROBE_INTERVAL_MS)
+		nr = reach->round_size - reach->nr_started;
+	reach->nr_started += nr;
+	return nr;
 }
 
 size_t reach_tick(struct reach *reach, size_t nr_servers, bool *new_round)
--- a/almondward/reach.h
+++ b/almondward/reach.h
@@ -26,8 +26,9 @@
 
 /* Servers that must be unreachable at once, or all, if there are fewer. */
 #define REACH_ROUND_PROBES 3
-/* Unfinished probes at any time. */
-#define REACH_PROBES_MAX 4
+/* Unfinished probes at any time. Those of a round may still be unfinished when
+ * the next one begins. */
+#define REACH_PROBES_MAX 6
 
 enum reach_state {
 	REACH_OK,
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -7,7 +7,7 @@
 #include "reach.h"
 
 #define TICK_MS 20
-#define PROBE_TIMEOUT_MS 300
+#define PROBE_TIMEOUT_MS 700
 
 // Detection and return must each take less than this.
 #define DETECTION_MAX_MS 2000
