tests: Show that answers do not need control, and waits for a processor

A failure of changes_on_one_core in which no caller got an answer for 3.5 s (66 requests) was open: neither the logs nor the test told whether the instances ran.

On failure the test now prints for each process how long it waited for a processor, which late loops alone do not tell. The new case answers_while_control_stands_still suspends all control instances for 4 s and requires answers of all eight instances without a gap of 1 s.

--- a/tests/process_lost.py
+++ b/tests/process_lost.py
@@ -347,7 +347,8 @@
                 print(f"# {what}: {text}", flush=True)
         counts = {what: len(texts) for what, texts in self.failures.items()}
         if counts:
-            print(f"# late ticks: {self.late_ticks()}, load {os.getloadavg()}", flush=True)
+            print(f"# late ticks: {self.late_ticks()}, load {os.getloadavg()}, waited for a "
+                  f"processor in s: {self.processor_waits()}", flush=True)
         assert not counts, counts
 
     def late_ticks(self):
@@ -356,6 +357,20 @@
                        for line in text.splitlines() if "event=loop outcome=late" in line]
                 for name, text in self.cluster.logs().items() if name.startswith("entry")}
 
+    def processor_waits(self):
+        """Returns by process how long it was ready to run and had no processor, in s
+        (see proc_pid_schedstat(5)). An instance that is late without it was suspended
+        or blocked."""
+        waits = {}
+        processes = {name: process.pid for name, process in self.cluster.processes.items()}
+        for name, pid in {**processes, "callers": os.getpid()}.items():
+            try:
+                with open(f"/proc/{pid}/schedstat") as stat:
+                    waits[name] = round(int(stat.read().split()[1]) / 1e9, 2)
+            except OSError:
+                pass  # it has ended, or the kernel does not count
+        return waits
+
     def check(self):
         print(f"# {sum(self.statuses.values())} answers {self.statuses}, "
               f"{self.operator.acknowledged} of {self.operator.sent} changes acknowledged, "
@@ -537,6 +552,37 @@
     await test.run(suspend_leader, name_limits)
 
 
+async def answers_while_control_stands_still(test):
+    """Without leader, directory and feed, each instance answers on with what it has. A
+    time without any answer is then no matter of the control instances."""
+    await test.prepare()
+    stalled_s = 4.0
+    answered = {}  # instance: when each answer came, from the start of the case
+    for name in test.cluster.names("control"):
+        test.cluster.signal(name, signal.SIGSTOP)
+    test.started = time.monotonic()
+
+    class TimedCaller(Caller):
+        async def send(self):
+            await super().send()
+            answered.setdefault(self.entry, []).append(time.monotonic() - test.started)
+
+    entries = test.cluster.names("entry")
+    callers = [TimedCaller(test, test.new_rng(), entries[i % len(entries)], 0)
+               for i in range(64)]
+    await asyncio.gather(use_one_core(test, 0),
+                         *(caller.run(test.started + stalled_s) for caller in callers))
+    for name in test.cluster.names("control"):
+        test.cluster.signal(name, signal.SIGCONT)
+    gaps = {name: max(b - a for a, b in zip([0, *times], [*times, stalled_s]))
+            for name, times in answered.items()}
+    print(f"# {sum(test.statuses.values())} answers {test.statuses}, longest time without an "
+          f"answer of an instance {max(gaps.values(), default=stalled_s):.2f} s", flush=True)
+    test.check_none_lost()
+    assert set(answered) == set(entries), sorted(answered)
+    assert max(gaps.values()) < 1, gaps
+
+
 async def changes_on_slow_links(test):
     """Large bodies wait for the link of their instance."""
     await test.run(name_limits, callers=32)
@@ -636,6 +682,7 @@
         changes_while_instances_stand_still: {"nr_servers": 12},
         changes_while_coordinators_end: {"nr_entries": 5},
         changes_while_the_leader_stands_still: {},
+        answers_while_control_stands_still: {"nr_entries": 8, "nr_servers": 12},
         changes_on_slow_links: {"link_mbit": 30},
         requests_that_wait_while_their_idle_timeout_expires: {},
         server_connections_that_end_while_an_instance_stands_still: {},
