gateway: Open no connection for a request while none can be made

Callers of an instance whose new connections to servers are reset as soon as they are accepted got 502 for writes, more than four seconds after that had begun: 1 of 43 and 1 of 49 first tries in two of thirteen runs of new_connections_are_refused.

Cause: in the state no_new_connections a request is sent only if the chosen server has an idle connection, and is relayed otherwise. But a write takes no connection that was idle for more than five seconds, and a request takes none that has ended or that carried its own id. For such a request a new connection was opened, and the reset came after its first byte was sent, so it could not be sent again.

An attempt that opens a connection in this state is now ended before anything is sent, and the request is relayed like others without a connection.

Test: process_partition.py writes_beside_old_connections sends 60 writes, six seconds after new connections began to be reset, while one server responds.

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1541,6 +1541,23 @@
 	return true;
 }
 
+/*
+ * Relays a request for which a connection is being opened while none can be
+ * made: the idle connections to the server have ended, or were idle for too
+ * long for it. Over a connection that is reset as soon as it is accepted, a
+ * request that is not idempotent would be lost.
+ */
+static void relay_instead_of_opening(struct gw_request *request)
+{
+	if (reach_state(gw_reach(request->gw)) != REACH_NO_NEW ||
+	    !request->conn_info.is_opening)
+		return;
+	http_conn_destroy(request->conn);
+	request->nr_not_run++;
+	end_attempt(request, STEER_WITHDRAWN, "no_new_connections", NULL);
+	relay_unreachable(request);
+}
+
 enum next_step {
 	STEP_WAIT, /* the request goes on when the coordinator has replied */
 	STEP_CHOOSE, /* choose again with what the coordinator replied */
@@ -1608,8 +1625,10 @@
 			return;
 		if (step == STEP_CHOOSE)
 			continue;
-		if (send_attempt(request))
+		if (send_attempt(request)) {
+			relay_instead_of_opening(request);
 			return;
+		}
 		if (++request->nr_not_run > NOT_RUN_ATTEMPTS_MAX) {
 			relay_or_refuse(request, REFUSAL_NO_SERVER,
 					RETRY_AFTER_MS);
--- a/tests/process_partition.py
+++ b/tests/process_partition.py
@@ -242,6 +242,36 @@
     await check_cut(cluster, ["entry-0", "entry-1"], "refuse_new", work_s=0.2)
 
 
+async def writes_beside_old_connections(cluster):
+    """While new connections are reset, open ones serve requests on, but those that were
+    idle for long do not serve writes. A new connection was opened for the write instead,
+    and the reset after the first byte made it a 502."""
+    entry = "entry-0"
+    await asyncio.gather(*(cluster.request(entry, f"/read/{i}") for i in range(48)))
+    began = time.monotonic()
+    await cluster.cut([entry], "refuse_new")
+    for server in cluster.servers.values():
+        server.work_s = 0.2
+    await asyncio.gather(*(cluster.request(entry, f"/read/{i}") for i in range(72)))
+    for server in cluster.servers.values():
+        server.work_s = 0.02
+    while time.monotonic() < began + CONTACT_S + 2:  # one server responds all the time
+        await cluster.request(entry, "/read/1")
+        await asyncio.sleep(0.1)
+    state = [line.split("state=")[1].split()[0] for line in cluster.logs()[entry].splitlines()
+             if "event=reach" in line]
+    assert state and state[-1] == "no_new_connections", state
+    statuses = {}
+    for i in range(60):
+        answer = await cluster.request(entry, f"/write/{i}", "POST", b"x" * 100)
+        status = answer and answer.status
+        statuses[status] = statuses.get(status, 0) + 1
+        await cluster.request(entry, "/read/1")
+    await cluster.join()
+    print(f"# writes by status: {statuses}", flush=True)
+    assert statuses == {200: 60}, statuses
+
+
 async def half_of_the_servers_are_cut_off(cluster):
     """An instance reaches half of the servers only."""
     await check_cut(cluster, ["entry-0"], "silent", list(cluster.servers.values())[:3])
@@ -403,6 +433,7 @@
              region_is_cut_off, connections_are_reset, new_connections_are_refused,
              half_of_the_servers_are_cut_off, writes_while_cut_off, links_flap,
              busy_servers_are_not_lost_links, connections_of_requests_show_the_links,
+             writes_beside_old_connections,
              all_instances_are_cut_off, servers_refuse_all_connections, instance_returns]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(
