--- a/tests/process_partition.py
+++ b/tests/process_partition.py
@@ -2,9 +2,9 @@
 """Entry instances that lose their links to the backend servers, while callers, the
 control instances and the other entry instances still reach them, with real
 processes."""
+import argparse
 import asyncio
 import os
-import sys
 import time
 
 import cluster as clusterlib
@@ -346,6 +346,77 @@
     await asyncio.gather(*tasks)
 
 
+async def flap(cluster, entry, servers=None, cut_s=(0.4, 2.0), joined_s=(0.2, 1.2)):
+    """Cuts and joins the links of an instance for random times, for about ten seconds.
+    Returns how often."""
+    end = time.monotonic() + 10
+    nr = 0
+    while time.monotonic() < end:
+        await cluster.cut([entry], "silent", servers)
+        await asyncio.sleep(cluster.rng.uniform(*cut_s))
+        await cluster.join()
+        await asyncio.sleep(cluster.rng.uniform(*joined_s))
+        nr += 1
+    return nr
+
+
+async def check_flapping(cluster, entry, servers=None, writes=0.3):
+    callers = Callers(cluster, 80, writes)
+    await asyncio.sleep(WARM_UP_S)
+    began = time.monotonic()
+    callers.lose_directory()
+    nr = await flap(cluster, entry, servers)
+    ended = time.monotonic()
+    await callers.stop()
+    print(f"# {nr} cuts in {ended - began:.1f} s", flush=True)
+    callers.check_first_tries([entry], began + CONTACT_S, ended)
+    await asyncio.sleep(3)  # packets that were dropped are sent again meanwhile
+
+
+async def links_flap_under_writes(cluster):
+    """A write that was sent before a cut waits until the links are joined, and must
+    neither run twice nor after it was refused; later ones are served."""
+    await check_flapping(cluster, "entry-0", writes=1.0)
+
+
+async def links_to_half_of_the_servers_flap(cluster):
+    """Each cut makes the instance leave out half of the servers, and each join brings
+    them back, while the other half responds all the time."""
+    await check_flapping(cluster, "entry-0", list(cluster.servers.values())[:3])
+
+
+IDLE_S = 10.0
+FIRST_REQUEST_S = 6.0  # from the begin of the cut
+
+
+async def check_idle(cluster, writes):
+    """An instance without traffic learns of a cut from its first requests only."""
+    await asyncio.sleep(IDLE_S)
+    await cluster.cut(["entry-0"], "silent")
+    await asyncio.sleep(FIRST_REQUEST_S)
+    began = time.monotonic()
+    callers = Callers(cluster, 80, writes)
+    await asyncio.sleep(4.0)
+    ended = time.monotonic()
+    await cluster.join()
+    await callers.stop()
+    late = [t for t in callers.between(began, ended) if t.entry == "entry-0"
+            and t.status != 200]
+    print(f"# last first try that failed: sent {max((t.sent - began for t in late), default=0):.2f} "
+          "s after the first request", flush=True)
+    callers.check_first_tries(["entry-0"], began, ended)
+
+
+async def idle_instance_is_cut_off(cluster):
+    """Reads and writes after a cut that nobody noticed."""
+    await check_idle(cluster, 0.3)
+
+
+async def idle_instance_is_cut_off_before_writes(cluster):
+    """The same with writes only, which cannot be sent again."""
+    await check_idle(cluster, 1.0)
+
+
 async def check_all_cut(cluster, kind):
     """No instance reaches a server: requests are refused at once, and served again soon
     after the links are joined."""
@@ -384,23 +455,23 @@
     await check_all_cut(cluster, "closed")
 
 
-async def instance_returns(cluster):
-    """An instance whose links are joined sends requests to the servers itself again, and
-    the directory names it."""
+async def check_return(cluster, writes, cut_links):
+    """Checks that entry-0, whose links are joined after cut_links(), sends requests to
+    the servers itself again, and that the directory names it."""
     ip = cluster.instances["entry-0"][0]
-    callers = Callers(cluster, 60)
+    callers = Callers(cluster, 60, writes)
     await asyncio.sleep(WARM_UP_S)
-    await cluster.cut(["entry-0"], "silent")
-    await asyncio.sleep(CONTACT_S + 1)
+    await cut_links()
     joined = time.monotonic()
     await cluster.join()
     pinned = []  # (when sent, task) of requests that go to this instance in any case
     named_s = None
     while time.monotonic() < joined + RETURN_MAX_S + 2:
         request_id = f"{cluster.rng.getrandbits(64):016x}"
-        path = f"/read/{cluster.rng.randrange(200)}"
+        method = "POST" if cluster.rng.random() < writes else "GET"
+        path = f"/{'write' if method == 'POST' else 'read'}/{cluster.rng.randrange(200)}"
         pinned.append((time.monotonic(), request_id, asyncio.create_task(
-            cluster.request("entry-0", path, request_id=request_id))))
+            cluster.request("entry-0", path, method, request_id=request_id))))
         found = await cluster.look_up("a1", cluster.address("control-0", "directory"))
         if named_s is None and found and "entry-0" in found[0]:
             named_s = time.monotonic() - joined
@@ -423,22 +494,48 @@
           f"it", flush=True)
     assert len(due) >= 20, len(due)
     assert served >= 0.9 * len(due) and direct >= 0.9 * len(due), (served, direct, len(due))
+    assert first <= joined + RETURN_MAX_S, first - joined
     assert named_s is not None, "the directory does not name it"
 
 
+async def instance_returns(cluster):
+    """The links are cut once."""
+    async def cut_links():
+        await cluster.cut(["entry-0"], "silent")
+        await asyncio.sleep(CONTACT_S + 1)
+    await check_return(cluster, 0, cut_links)
+
+
+async def instance_returns_after_flapping(cluster):
+    """After links that were cut several times an instance waits for more than one
+    connection, but serves directly within the same time."""
+    async def cut_links():
+        # Each cut and each join lasts long enough to be noticed.
+        await flap(cluster, "entry-0", None, (1.2, 1.8), (1.0, 1.5))
+        await cluster.cut(["entry-0"], "silent")
+        await asyncio.sleep(1.5)
+    await check_return(cluster, 0.3, cut_links)
+
+
 def main():
-    build = sys.argv[1]
+    parser = argparse.ArgumentParser()
+    parser.add_argument("build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("cases", nargs="*")
+    args = parser.parse_intermixed_args()
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [one_instance_is_cut_off, two_instances_are_cut_off, zone_is_cut_off,
              region_is_cut_off, connections_are_reset, new_connections_are_refused,
              half_of_the_servers_are_cut_off, writes_while_cut_off, links_flap,
              busy_servers_are_not_lost_links, connections_of_requests_show_the_links,
-             writes_beside_old_connections,
-             all_instances_are_cut_off, servers_refuse_all_connections, instance_returns]
-    chosen = sys.argv[2:]
+             writes_beside_old_connections, all_instances_are_cut_off,
+             servers_refuse_all_connections, instance_returns,
+             links_flap_under_writes, links_to_half_of_the_servers_flap,
+             idle_instance_is_cut_off, idle_instance_is_cut_off_before_writes,
+             instance_returns_after_flapping]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(
-        build, case, nr_entries=4, nr_servers=6)) for case in cases
-        if not chosen or case.__name__ in chosen])
+        args.build, case, nr_entries=4, nr_servers=6, seed=args.seed)) for case in cases
+        if not args.cases or case.__name__ in args.cases])
 
 
 if __name__ == "__main__":
