--- a/almondward/http.h
+++ b/almondward/http.h
@@ -210,6 +210,12 @@
 	size_t response_max_bytes; /* of the body */
 	struct http_memory *response_memory; /* NULL: no shared limit */
 	uint32_t timeout_ms; /* until the response is complete */
+	/*
+	 * Over a connection without a response so far, the request is sent
+	 * when it has been established for this long. If it is reset before,
+	 * the call ends with HTTP_CLOSED and bytes_sent false.
+	 */
+	uint32_t settle_ms;
 	/*
 	 * Called just before the first byte is written to the socket; false
 	 * ends the call with HTTP_CLOSED and bytes_sent false. May be NULL.
--- a/almondward/http_client.c
+++ b/almondward/http_client.c
@@ -23,6 +23,7 @@
 enum client_state {
 	CLIENT_CONNECTING,
 	CLIENT_IDLE,
+	CLIENT_SETTLING, /* a request waits, see settle_ms */
 	CLIENT_WAITING, /* for the response; may still be sending the request */
 	CLIENT_FAILED, /* the timer will deliver the outcome */
 	CLIENT_DEAD /* no connection */
@@ -33,7 +34,9 @@
 	char address[ADDRESS_BYTES_MAX];
 	struct loop_conn *loop_conn; /* NULL when closed */
 	struct loop_timer *timer;
+	struct loop_timer *settle_timer;
 	enum client_state state;
+	bool has_responded; /* to any request */
 	bool busy; /* a call has no outcome yet */
 	struct http_call call;
 	uint64_t read_until_ms; /* after the time limit, 0: before it */
@@ -97,6 +100,7 @@
 	conn->has_msg = false;
 	conn->busy = false;
 	loop_timer_cancel(conn->timer);
+	loop_timer_cancel(conn->settle_timer);
 	buf_clear(&conn->head);
 	done(arg, conn, outcome);
 	if (has_msg)
@@ -147,6 +151,7 @@
 
 	update_bytes_sent(conn);
 	outcome.bytes_sent = conn->bytes_sent;
+	conn->has_responded = true;
 	fill_response(conn, &outcome.response);
 	conn->idle_since_ms = clk_now_ms(loop_clock(conn->loop));
 	conn->state = CLIENT_IDLE;
@@ -227,6 +232,22 @@
 	return conn->bytes_sent ? HTTP_OK : HTTP_CLOSED;
 }
 
+/*
+ * Lets the request wait if the established connection has to settle. Returns
+ * false if it can be sent at once.
+ */
+static bool begin_settling(struct http_conn *conn)
+{
+	uint64_t now_ms = clk_now_ms(loop_clock(conn->loop));
+	uint64_t settled_ms = conn->idle_since_ms + conn->call.settle_ms;
+
+	if (conn->has_responded || now_ms >= settled_ms)
+		return false;
+	conn->state = CLIENT_SETTLING;
+	loop_timer_set(conn->settle_timer, (uint32_t)(settled_ms - now_ms));
+	return true;
+}
+
 enum loop_error http_conn_call(struct http_conn *conn,
 			       const struct http_call *call)
 {
@@ -242,7 +263,7 @@
 	conn->nr_informational = 0;
 	conn->read_until_ms = 0;
 	loop_timer_set(conn->timer, call->timeout_ms);
-	if (conn->state == CLIENT_CONNECTING)
+	if (conn->state == CLIENT_CONNECTING || begin_settling(conn))
 		return LOOP_OK;
 	result = send_request(conn);
 	if (result)
@@ -329,21 +350,38 @@
 		conn->call.request_sent(conn->call.arg);
 }
 
+static void send_settled(struct http_conn *conn)
+{
+	enum http_result result = send_request(conn);
+
+	if (result)
+		fail(conn, result);
+	else
+		on_drained(conn, conn->loop_conn);
+}
+
+static void on_settled(void *arg)
+{
+	struct http_conn *conn = arg;
+
+	if (conn->state != CLIENT_SETTLING)
+		return;
+	if (loop_conn_has_input(conn->loop_conn))
+		fail(conn, HTTP_CLOSED);
+	else
+		send_settled(conn);
+}
+
 static void on_opened(void *arg, struct loop_conn *loop_conn)
 {
 	struct http_conn *conn = arg;
-	enum http_result result;
 
+	(void)loop_conn;
 	conn->state = CLIENT_IDLE;
 	conn->idle_since_ms = clk_now_ms(loop_clock(conn->loop));
 	conn->connect_ms = (uint32_t)(conn->idle_since_ms - conn->created_ms);
-	if (!conn->busy)
-		return;
-	result = send_request(conn);
-	if (result)
-		fail(conn, result);
-	else
-		on_drained(conn, loop_conn);
+	if (conn->busy && !begin_settling(conn))
+		send_settled(conn);
 }
 
 static void on_data(void *arg, struct loop_conn *loop_conn, const uint8_t *data,
@@ -354,6 +392,8 @@
 	(void)loop_conn;
 	if (conn->state == CLIENT_WAITING)
 		receive_response(conn, data, len_bytes);
+	else if (conn->state == CLIENT_SETTLING)
+		fail(conn, HTTP_CLOSED);
 	else /* no request waits for these bytes */
 		drop_connection(conn);
 }
@@ -426,7 +466,8 @@
 	new->created_ms = clk_now_ms(loop_clock(loop));
 	snprintf(new->address, sizeof(new->address), "%s", address);
 	new->timer = loop_timer_create(loop, on_timer, new);
-	if (!new->timer)
+	new->settle_timer = loop_timer_create(loop, on_settled, new);
+	if (!new->timer || !new->settle_timer)
 		goto fail;
 	err = loop_connect(loop, address, connect_timeout_ms, &conn_ops, new,
 			   &new->loop_conn);
@@ -437,6 +478,7 @@
 
 fail:
 	loop_timer_destroy(new->timer);
+	loop_timer_destroy(new->settle_timer);
 	free(new);
 	return err;
 }
@@ -449,6 +491,7 @@
 	reset_msg(conn);
 	buf_release(&conn->head);
 	loop_timer_destroy(conn->timer);
+	loop_timer_destroy(conn->settle_timer);
 	free(conn);
 }
 
@@ -475,6 +518,7 @@
 bool http_conn_sending(const struct http_conn *conn)
 {
 	return conn->busy && (conn->state == CLIENT_CONNECTING ||
+			      conn->state == CLIENT_SETTLING ||
 			      (conn->state == CLIENT_WAITING &&
 			       loop_conn_queued_bytes(conn->loop_conn)));
 }
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -576,6 +576,64 @@
 	EXPECT_FALSE(c.bytes_sent);
 }
 
+// A connection that is reset as soon as it is accepted must not get a byte of a
+// request that could then not be sent again.
+TEST(HttpClient, ResetOfSettlingConnectionSentNothing)
+{
+	for (bool connected : { false, true }) {
+		Client c("POST");
+
+		c.call.settle_ms = 200;
+		if (connected) {
+			ASSERT_TRUE(c.net.until(
+				[&] { return http_conn_reusable(c.conn); }));
+		}
+		c.start();
+		ASSERT_TRUE(c.net.until([&] { return c.server.accepted; }));
+		EXPECT_TRUE(http_conn_sending(c.conn));
+		c.net.run_ms(20);
+		EXPECT_EQ("", c.server.last.received);
+		EXPECT_EQ(0, c.may_send_calls);
+		c.server.last.close();
+		ASSERT_TRUE(c.finish());
+		EXPECT_EQ(HTTP_CLOSED, c.result);
+		EXPECT_FALSE(c.bytes_sent);
+	}
+}
+
+// Only the first request waits: a connection with a response is proven.
+TEST(HttpClient, SettledConnectionSendsAtOnce)
+{
+	Client c;
+	uint64_t start_ms = clk_now_ms(loop_clock(c.net.loop));
+
+	c.call.settle_ms = 100;
+	c.start_and_wait();
+	EXPECT_LE(start_ms + 100, clk_now_ms(loop_clock(c.net.loop)));
+	c.server.last.send(OK + CL3 + "\r\nabc");
+	ASSERT_TRUE(c.finish());
+	EXPECT_EQ(HTTP_OK, c.result);
+	c.server.last.received.clear();
+	c.call.settle_ms = 390;
+	c.call.timeout_ms = 200;
+	c.start_and_wait();
+	c.server.last.send(OK + CL3 + "\r\nabc");
+	ASSERT_TRUE(c.finish());
+	EXPECT_EQ(HTTP_OK, c.result);
+}
+
+TEST(HttpClient, SettlingEndsAtTimeoutOfCall)
+{
+	Client c;
+
+	c.call.settle_ms = 1000;
+	c.call.timeout_ms = 50;
+	c.start();
+	ASSERT_TRUE(c.finish());
+	EXPECT_EQ(HTTP_TIMEOUT, c.result);
+	EXPECT_FALSE(c.bytes_sent);
+}
+
 // A server may respond before it has read a large request. The rest of the
 // request is not sent then, so the connection must not be reused.
 TEST(HttpClient, EarlyResponseToLargeBody)
--- a/tests/process_partition.py
+++ b/tests/process_partition.py
@@ -272,6 +272,29 @@
     assert statuses == {200: 60}, statuses
 
 
+async def writes_after_first_reset(cluster):
+    """Before probes have found out that new connections are reset, the first reset is
+    known: later writes sent over new connections got 502 until then."""
+    entry = "entry-0"
+    statuses = {}
+    for server in cluster.servers.values():
+        server.work_s = 1.0
+    # More than there are open connections, so all are in use.
+    tasks = [asyncio.create_task(cluster.request(entry, f"/read/{i}")) for i in range(24)]
+    await asyncio.sleep(0.3)
+    await cluster.cut([entry], "refuse_new")
+    tasks.append(asyncio.create_task(cluster.request(entry, "/read/100")))
+    await asyncio.sleep(0.01)
+    for answer in await asyncio.gather(*(
+            cluster.request(entry, f"/write/{i}", "POST", b"x" * 100) for i in range(16))):
+        status = answer and answer.status
+        statuses[status] = statuses.get(status, 0) + 1
+    await asyncio.gather(*tasks)
+    await cluster.join()
+    print(f"# writes by status: {statuses}", flush=True)
+    assert 502 not in statuses and statuses.get(200, 0) >= 14, statuses
+
+
 async def half_of_the_servers_are_cut_off(cluster):
     """An instance reaches half of the servers only."""
     await check_cut(cluster, ["entry-0"], "silent", list(cluster.servers.values())[:3])
@@ -528,8 +551,8 @@
              region_is_cut_off, connections_are_reset, new_connections_are_refused,
              half_of_the_servers_are_cut_off, writes_while_cut_off, links_flap,
              busy_servers_are_not_lost_links, connections_of_requests_show_the_links,
-             writes_beside_old_connections, all_instances_are_cut_off,
-             servers_refuse_all_connections, instance_returns,
+             writes_beside_old_connections, writes_after_first_reset,
+             all_instances_are_cut_off, servers_refuse_all_connections, instance_returns,
              links_flap_under_writes, links_to_half_of_the_servers_flap,
              idle_instance_is_cut_off, idle_instance_is_cut_off_before_writes,
              instance_returns_after_flapping]
