reach: Notice the return soon after links that flapped

Eight connections in a row were needed, 250 ms apart, and a probe that began before the join and failed after it started the count again.

Six are needed at most now, and a failure does not end the row within 250 ms of a success.

--- a/almondward/reach.c
+++ b/almondward/reach.c
@@ -21,7 +21,7 @@
  * a row must succeed before they are used again.
  */
 #define FLAP_MS 10000
-#define SUCCESSES_MAX 8
+#define SUCCESSES_MAX 6 /* takes 1.5 s */
 
 struct reach {
 	struct clk *clk;
@@ -120,8 +120,9 @@
 	uint64_t at_ms = now_ms(reach);
 
 	if (reach->regained_ms && at_ms < reach->regained_ms + FLAP_MS) {
-		if (reach->successes_needed < SUCCESSES_MAX)
-			reach->successes_needed *= 2;
+		reach->successes_needed *= 2;
+		if (reach->successes_needed > SUCCESSES_MAX)
+			reach->successes_needed = SUCCESSES_MAX;
 	} else {
 		reach->successes_needed = 1;
 	}
@@ -172,6 +173,8 @@
 
 void reach_probe_end(struct reach *reach, bool connected)
 {
+	uint64_t at_ms = now_ms(reach);
+
 	reach->nr_probes--;
 	if (connected) {
 		if (reach->state == REACH_OK &&
@@ -180,10 +183,12 @@
 		reach_connected(reach);
 		return;
 	}
-	reach->nr_successes = 0;
+	/* A probe that began before the links returned may fail after it. */
+	if (at_ms > reach->connected_ms + PROBE_INTERVAL_MS)
+		reach->nr_successes = 0;
 	if (!reach->in_round || ++reach->nr_failed < reach->round_size)
 		return;
-	if (now_ms(reach) >= reach->first_round_ms + FAILED_MIN_MS)
+	if (at_ms >= reach->first_round_ms + FAILED_MIN_MS)
 		lose(reach);
 	else
 		repeat_round(reach);
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -12,6 +12,7 @@
 // Detection and return must each take less than this.
 #define DETECTION_MAX_MS 2000
 #define RETURN_MAX_MS 600
+#define FLAPPING_RETURN_MAX_MS 1800 // leaves 200 ms of two seconds
 
 enum link {
 	LINK_UP,
@@ -334,6 +335,21 @@
 	EXPECT_LT(time_to(REACH_OK, 5000), (uint64_t)RETURN_MAX_MS);
 }
 
+// However often the links were lost, their return must be noticed soon. Probes
+// that began before it still fail after it.
+TEST_F(Reach, ReturnIsNoticedSoonAfterFlapping)
+{
+	for (int i = 0; i < 8; i++) {
+		link = LINK_SILENT;
+		run(DETECTION_MAX_MS + i * 50);
+		ASSERT_EQ(REACH_CUT, reach_state(reach)) << i;
+		link = LINK_UP;
+		EXPECT_LT(time_to(REACH_OK, 5000),
+			  (uint64_t)FLAPPING_RETURN_MAX_MS)
+			<< i;
+	}
+}
+
 // A server that refuses connections has exited only if others accept them, which
 // must be known soon.
 TEST_F(Reach, ChecksAtOnceOnRequest)
