--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -183,7 +183,7 @@
 	 */
 	uint64_t idle_limit_ms;
 	uint64_t idle_limit_until_ms;
-	/* Until then new connections have to settle, see SETTLE_MS. */
+	/* Until then new connections have to settle, see GW_SETTLE_MS. */
 	uint64_t settle_until_ms;
 	uint64_t last_slow_tick_ms; /* see SLOW_TICK_MS */
 	uint64_t tick_due_ms; /* 0: before the first tick */
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -26,12 +26,11 @@
  * idle for a shorter time are used for this long. */
 #define IDLE_LIMIT_MS 5000
 /*
- * After a new connection failed within SETTLE_MS, as it does where connections
+ * After a new connection failed within GW_SETTLE_MS, as it does where connections
  * are reset as soon as they are accepted, requests are sent over new
  * connections that have been open for this long. It ends SETTLE_REQUIRED_MS
  * after the last such failure; probes decide sooner whether links are lost.
  */
-#define SETTLE_MS 50
 #define SETTLE_REQUIRED_MS 1000
 /* Attempts of one request that did not run it, in addition to attempts_max. */
 #define NOT_RUN_ATTEMPTS_MAX 2
@@ -1218,7 +1217,7 @@
 {
 	struct gw *gw = request->gw;
 
-	if (request->conn_info.is_new && attempt_ms(request) <= SETTLE_MS)
+	if (request->conn_info.is_new && attempt_ms(request) <= GW_SETTLE_MS)
 		gw->settle_until_ms = gw_now_ms(gw) + SETTLE_REQUIRED_MS;
 }
 
@@ -1344,8 +1343,9 @@
 		.response_max_bytes = answer_max_bytes(request->gw),
 		.response_memory = &request->gw->response_memory,
 		.timeout_ms = forward_info.left_ms,
-		.settle_ms = now_ms < request->gw->settle_until_ms ? SETTLE_MS :
-								     0,
+		.settle_ms = now_ms < request->gw->settle_until_ms ?
+				     GW_SETTLE_MS :
+				     0,
 		.may_send = on_established,
 		.matches_request = is_own_response,
 		.request_sent = on_body_sent,
