gateway_crashes: Prove an exit beside other servers that have exited

Since a refused connection proves an exit only if another server accepts one. That server was chosen at random among those that the table has as active, and a request that crashes servers has often crashed it too. Then a round of probes decided 60 to 200 ms later; these met exited servers as well, so that some instances took their links for lost and dropped the report. Until the leader knew of two exits, instances retried the request, and until it knew of three, they sent it.

Servers that this instance suspects or could not reach are now the last choice. If the other server has not accepted when the suspected one refuses, three more are asked at once, and reach decides only if none accepts. The decisions are in exit_check, which does no I/O.

--- a/almondward/crashes.c
+++ b/almondward/crashes.c
@@ -431,6 +431,23 @@
 	}
 }
 
+bool crs_may_have_exited(const struct crs *crs, const char *address,
+			 uint64_t incarnation)
+{
+	uint64_t now_ms = clk_now_ms(crs->clk);
+	size_t i;
+
+	for (i = 0; i < crs->nr_reports; i++) {
+		const struct report *at = &crs->reports[i];
+
+		if (at->at_ms && at->incarnation == incarnation &&
+		    (at->exited || now_ms < at->at_ms + QUAR_EXIT_CONFIRM_MS) &&
+		    !strcmp(at->address, address))
+			return true;
+	}
+	return false;
+}
+
 /* ---- leader's list ---- */
 
 static struct listed *get_listed(struct crs *crs, const uint8_t *fingerprint)
--- a/almondward/crashes.h
+++ b/almondward/crashes.h
@@ -98,6 +98,13 @@
 void crs_server_exited(struct crs *crs, const char *address,
 		       uint64_t incarnation);
 
+/*
+ * Returns whether this process exited, or broke a connection or left an attempt
+ * unanswered within QUAR_EXIT_CONFIRM_MS, as far as this instance has reported.
+ */
+bool crs_may_have_exited(const struct crs *crs, const char *address,
+			 uint64_t incarnation);
+
 /*
  * Records that a server handled the request and responded.
  */
--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -4,6 +4,7 @@
 
 #include <utlist.h>
 
+#include "exit_check.h"
 #include "fingerprint.h"
 #include "gateway_internal.h"
 
@@ -14,23 +15,27 @@
 
 /* The same as CONNECT_TIMEOUT_MS in gateway_backend.c. */
 #define PROBE_TIMEOUT_MS 700
-/* An exiting process may close its connections before it stops listening, so an
- * accepted probe is repeated once after this time. */
-#define PROBE_REPEAT_MS 500
 #define PROBES_MAX 64
 
-/* Checks whether anything listens on the address of a server. */
+/* A server that shows whether this instance reaches servers. */
+struct other_server {
+	struct gw_probe *owner;
+	struct loop_probe *probe; /* NULL: finished */
+	char address[ADDRESS_BYTES_MAX];
+	char zone[NAME_BYTES_MAX];
+};
+
+/* Checks whether a server has exited. */
 struct gw_probe {
 	struct gw *gw;
-	struct loop_probe *probe; /* NULL: waits for the repetition */
+	struct exit_check *check;
+	struct loop_probe *probe; /* NULL: none at present */
 	char server_id[NAME_BYTES_MAX];
 	char address[ADDRESS_BYTES_MAX];
+	char zone[NAME_BYTES_MAX];
 	uint64_t incarnation;
-	uint64_t repeat_ms; /* time of the repetition, 0: this is it */
-	uint64_t refused_ms; /* when it was refused, 0: not yet */
-	/* Checks whether another server can be reached, NULL: finished. */
-	struct loop_probe *other;
-	bool other_accepted;
+	struct other_server others[EXIT_CHECK_OTHERS_MAX];
+	size_t nr_others;
 	struct gw_probe *prev, *next;
 };
 
@@ -39,7 +44,9 @@
 	struct gw *gw = at->gw;
 
 	loop_probe_destroy(at->probe);
-	loop_probe_destroy(at->other);
+	for (size_t i = 0; i < at->nr_others; i++)
+		loop_probe_destroy(at->others[i].probe);
+	exit_check_destroy(at->check);
 	DL_DELETE(gw->probes, at);
 	gw->nr_probes--;
 	free(at);
@@ -107,70 +114,145 @@
 	gw_crash_report(gw);
 }
 
+/* ---- choice of other servers ---- */
+
+struct choice {
+	const struct gw_probe *probe;
+	const struct topo_server *server;
+	double score;
+};
+
+static bool is_chosen(const struct gw_probe *at, const char *address)
+{
+	for (size_t i = 0; i < at->nr_others; i++)
+		if (!strcmp(at->others[i].address, address))
+			return true;
+	return !strcmp(at->address, address);
+}
+
+static bool is_zone_chosen(const struct gw_probe *at, const char *zone)
+{
+	for (size_t i = 0; i < at->nr_others; i++)
+		if (!strcmp(at->others[i].zone, zone))
+			return true;
+	return false;
+}
+
+/*
+ * A request that crashes servers has often crashed several of them when one is
+ * checked.
+ */
+static bool may_be_down(struct gw *gw, const struct topo_server *server)
+{
+	const struct steer_server *known = steer_find(gw->steer, server->id);
+
+	return crs_may_have_exited(gw->crs, server->address,
+				   server->incarnation) ||
+	       (known && steer_server_is_unreached(gw->steer, known));
+}
+
+/*
+ * Prefers servers that are not known to be down, then those that send
+ * heartbeats, then further zones, then the own region, whose servers respond
+ * sooner, then other zones than that of the suspected server.
+ */
+static void consider(void *arg, const struct topo_server *server)
+{
+	struct choice *choice = arg;
+	const struct gw_probe *at = choice->probe;
+	const struct set_cluster *cluster = &at->gw->settings->cluster;
+	double score = erand48(at->gw->random_state);
+
+	if (server->state == AW__SERVER_STATE__SERVER_LEAVING ||
+	    is_chosen(at, server->address))
+		return;
+	if (strcmp(server->zone, at->zone) != 0)
+		score += 1;
+	if (!strcmp(set_region(cluster, server->zone), cluster->region))
+		score += 2;
+	if (!is_zone_chosen(at, server->zone))
+		score += 4;
+	if (server->state == AW__SERVER_STATE__SERVER_ACTIVE)
+		score += 8;
+	if (!may_be_down(at->gw, server))
+		score += 16;
+	if (choice->server && score <= choice->score)
+		return;
+	choice->server = server;
+	choice->score = score;
+}
+
+/* ---- checks whether a server has exited ---- */
+
+static void on_other_probed(void *arg, enum loop_probe_result result);
+
+static int probe_other_server(struct gw_probe *at)
+{
+	struct other_server *other = &at->others[at->nr_others];
+	struct choice choice = { .probe = at };
+
+	topo_each(at->gw->topo, consider, &choice);
+	if (!choice.server)
+		return -1;
+	other->owner = at;
+	snprintf(other->address, sizeof(other->address), "%s",
+		 choice.server->address);
+	snprintf(other->zone, sizeof(other->zone), "%s", choice.server->zone);
+	if (loop_probe(at->gw->loop, other->address, PROBE_TIMEOUT_MS,
+		       on_other_probed, other, &other->probe))
+		return -1;
+	at->nr_others++;
+	return 0;
+}
+
 /*
- * An instance that has lost its links to the servers may have all connections
- * refused; that does not mean that the servers have exited. If the other server
- * cannot be reached either, the probes of reach decide.
+ * Reports the exit if it is proved. Frees the probe when it has finished.
  */
 static void judge_refused(struct gw_probe *at)
 {
-	const struct reach *reach = gw_reach(at->gw);
-
-	if (at->other_accepted || (reach_state(reach) == REACH_OK &&
-				   reach_connected_ms(reach) >= at->refused_ms))
-		report_exit(at->gw, at->server_id, at->address,
-			    at->incarnation);
-	else if (!at->other && reach_state(reach) != REACH_OK)
-		gw_count(at->gw, "server_probes_left_out", "links");
-	else
+	struct gw *gw = at->gw;
+
+	switch (exit_check_state(at->check)) {
+	case EXIT_CHECK_PENDING:
 		return;
+	case EXIT_CHECK_EXITED:
+		report_exit(gw, at->server_id, at->address, at->incarnation);
+		break;
+	case EXIT_CHECK_UNPROVEN:
+		break;
+	case EXIT_CHECK_NO_LINKS:
+		gw_count(gw, "server_probes_left_out", "links");
+		break;
+	}
 	probe_free(at);
 }
 
-static void on_other_probed(void *arg, enum loop_probe_result result)
+static void continue_probe(struct gw_probe *at)
 {
-	struct gw_probe *at = arg;
+	size_t nr = exit_check_begin_others(at->check);
 
-	at->other = NULL;
-	at->other_accepted = result == LOOP_PROBE_ACCEPTED;
-	if (!at->other_accepted)
-		reach_check(gw_reach(at->gw));
-	if (at->refused_ms)
-		judge_refused(at);
+	while (nr--)
+		if (probe_other_server(at))
+			exit_check_other_done(at->check, LOOP_PROBE_NO_ANSWER);
+	judge_refused(at);
 }
 
-static void probe_other_server(struct gw_probe *at)
+static void on_other_probed(void *arg, enum loop_probe_result result)
 {
-	const char *address = gw_reach_other_server(at->gw, at->address);
+	struct other_server *other = arg;
 
-	if (!address || loop_probe(at->gw->loop, address, PROBE_TIMEOUT_MS,
-				   on_other_probed, at, &at->other)) {
-		at->other = NULL;
-		reach_check(gw_reach(at->gw));
-	}
+	other->probe = NULL;
+	exit_check_other_done(other->owner->check, result);
+	continue_probe(other->owner);
 }
 
 static void on_probed(void *arg, enum loop_probe_result result)
 {
 	struct gw_probe *at = arg;
-	struct gw *gw = at->gw;
 
 	at->probe = NULL;
-	switch (result) {
-	case LOOP_PROBE_REFUSED:
-		at->refused_ms = gw_now_ms(gw);
-		if (!at->other && !at->other_accepted)
-			reach_check(gw_reach(gw));
-		judge_refused(at);
-		return;
-	case LOOP_PROBE_ACCEPTED:
-		if (at->repeat_ms)
-			return;
-		break;
-	case LOOP_PROBE_NO_ANSWER:
-		break;
-	}
-	probe_free(at);
+	exit_check_server_done(at->check, result);
+	continue_probe(at);
 }
 
 static void send_probe(struct gw_probe *at)
@@ -180,7 +262,7 @@
 	gw_count(gw, "server_probes", "");
 	if (loop_probe(gw->loop, at->address, PROBE_TIMEOUT_MS, on_probed, at,
 		       &at->probe))
-		probe_free(at);
+		exit_check_server_done(at->check, LOOP_PROBE_NO_ANSWER);
 }
 
 static void probe_server(struct gw *gw, const struct steer_server *server)
@@ -196,20 +278,24 @@
 			return;
 	}
 	at = gw->nr_probes < PROBES_MAX ? calloc(1, sizeof(*at)) : NULL;
-	if (!at) {
+	if (at)
+		at->check = exit_check_create(gw->clk, gw_reach(gw));
+	if (!at || !at->check) {
+		free(at);
 		gw_count(gw, "server_probes_left_out", "");
 		return;
 	}
 	at->gw = gw;
 	at->incarnation = incarnation;
-	at->repeat_ms = gw_now_ms(gw) + PROBE_REPEAT_MS;
 	snprintf(at->server_id, sizeof(at->server_id), "%s",
 		 steer_server_id(server));
 	snprintf(at->address, sizeof(at->address), "%s", address);
+	snprintf(at->zone, sizeof(at->zone), "%s", steer_server_zone(server));
 	DL_APPEND(gw->probes, at);
 	gw->nr_probes++;
-	probe_other_server(at);
-	send_probe(at);
+	if (exit_check_begin_server(at->check))
+		send_probe(at);
+	continue_probe(at);
 }
 
 static void describe_attempt(struct gw *gw, const uint8_t *fingerprint,
@@ -300,8 +386,7 @@
 
 	DL_FOREACH_SAFE(gw->probes, at, next)
 	{
-		if (at->refused_ms)
-			judge_refused(at);
+		judge_refused(at);
 	}
 }
 
@@ -312,11 +397,8 @@
 	crs_tick(gw->crs);
 	DL_FOREACH_SAFE(gw->probes, at, next)
 	{
-		if (at->probe || at->refused_ms ||
-		    gw_now_ms(gw) < at->repeat_ms)
-			continue;
-		at->repeat_ms = 0;
-		send_probe(at);
+		if (exit_check_begin_server(at->check))
+			send_probe(at);
 	}
 	gw_crash_report(gw);
 }
--- a/tests/crashes_test.cc
+++ b/tests/crashes_test.cc
@@ -674,6 +674,23 @@
 	EXPECT_FALSE(reports.crashes[1]->ended);
 }
 
+// An exit was proved late because the server that had to accept a connection
+// beside it was one that the same request had crashed before.
+TEST_F(Crashes, ServersThatMayHaveExitedAreKnown)
+{
+	struct crs *crs = entries[0].crs;
+
+	break_connection(0, "s1");
+	break_connection(0, "s2", false);
+	EXPECT_TRUE(crs_may_have_exited(crs, "s1", 1));
+	EXPECT_TRUE(crs_may_have_exited(crs, "s2", 1));
+	EXPECT_FALSE(crs_may_have_exited(crs, "s3", 1));
+	EXPECT_FALSE(crs_may_have_exited(crs, "s1", 2)) << "a new process";
+	clk_advance_ms(clk, QUAR_EXIT_CONFIRM_MS);
+	EXPECT_TRUE(crs_may_have_exited(crs, "s1", 1));
+	EXPECT_FALSE(crs_may_have_exited(crs, "s2", 1));
+}
+
 // Instances without a leader count crashes together and send each report once.
 TEST_F(Crashes, InstancesReportToEachOther)
 {
