control_crashes: Send a list that a crash report changed at once

The leader sent the changed list of requests that crash servers with its next tick, up to 10 ms after the report that changed it. Callers that repeat a request without a pause send it once or twice in that time, and instances that do not know yet that it is watched retry it, so that each crashes a further server.

The list is now sent when a report has changed it, unless that was done within the last 5 ms: many reports may arrive together, and each list goes to all instances. Nothing is sent between the election and the first tick of a term, in which the list is still that of an earlier term.

--- a/almondward/control_cluster.h
+++ b/almondward/control_cluster.h
@@ -79,6 +79,7 @@
 	uint64_t subscribed_ms; /* last Subscribe message */
 	bool feed_received; /* over leader_link since the last Subscribe */
 	uint64_t quar_tick_ms; /* last quar_tick() */
+	uint64_t quar_feed_ms; /* when a changed list was last sent at once */
 	/* Requests that crash servers; NULL unless it has led. */
 	struct quar *quar;
 	uint64_t controls_updated_ms; /* last update_controls() */
--- a/almondward/control_crashes.c
+++ b/almondward/control_crashes.c
@@ -17,6 +17,9 @@
 #define UNRECORDED UINT64_MAX
 /* Interval between checks for expired entries. */
 #define QUAR_TICK_MS 200
+/* A list that changed less than this long after the last one waits for the next
+ * tick: many reports may arrive at once, and each list goes to all instances. */
+#define QUAR_FEED_INTERVAL_MS 5
 
 static Aw__Quarantine *list_create(const struct quar *quar, size_t *nr)
 {
@@ -263,12 +266,31 @@
 			  crash->ended ? "ended" : "broke");
 }
 
+/*
+ * Sends the changed list at once: a caller may repeat the request without a
+ * pause, and each repeat crashes a further server.
+ */
+static void send_list(struct ctl *ctl)
+{
+	struct ctl_cluster *cluster = ctl->cluster;
+	uint64_t now_ms = clk_now_ms(ctl->clk);
+
+	/* Before the first tick of a term the list is that of an earlier one. */
+	if (cluster->led_term != ctl->soft_term ||
+	    now_ms < cluster->quar_feed_ms + QUAR_FEED_INTERVAL_MS)
+		return;
+	cluster->quar_feed_ms = now_ms;
+	ctl_feed_tick(ctl);
+}
+
 void ctl_crashes_on_reports(struct ctl *ctl, const Aw__CrashNews *news)
 {
+	uint64_t version;
 	size_t i;
 
 	if (!ctl_leads(ctl) || !ctl->cluster->quar)
 		return;
+	version = quar_version(ctl->cluster->quar);
 	for (i = 0; i < news->n_crashes; i++)
 		add_crash_report(ctl, news->crashes[i]);
 	for (i = 0; i < news->n_answers; i++)
@@ -276,6 +298,8 @@
 			quar_answered(ctl->cluster->quar,
 				      news->answers[i]->fingerprint.data,
 				      news->answers[i]->age_ms);
+	if (quar_version(ctl->cluster->quar) != version)
+		send_list(ctl);
 }
 
 void ctl_crashes_server_started(struct ctl *ctl, const Aw__Server *server)
