gateway_crashes: Plainer name for the end of a check

judge_refused() also ends checks whose connection was accepted or got no response. It is now finish_if_decided(), which says that it does nothing while the check is undecided. No change of behaviour.

--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -208,7 +208,7 @@
 /*
  * Reports the exit if it is proved. Frees the probe when it has finished.
  */
-static void judge_refused(struct gw_probe *at)
+static void finish_if_decided(struct gw_probe *at)
 {
 	struct gw *gw = at->gw;
 
@@ -234,7 +234,7 @@
 	while (nr--)
 		if (probe_other_server(at))
 			exit_check_other_done(at->check, LOOP_PROBE_NO_ANSWER);
-	judge_refused(at);
+	finish_if_decided(at);
 }
 
 static void on_other_probed(void *arg, enum loop_probe_result result)
@@ -386,7 +386,7 @@
 
 	DL_FOREACH_SAFE(gw->probes, at, next)
 	{
-		judge_refused(at);
+		finish_if_decided(at);
 	}
 }
 
