gateway_reach: Remove the choice of another server

The checks whether a server has exited choose other servers themselves, since they avoid those that may have exited too. No change of behaviour.

--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -315,11 +315,6 @@
 void gw_reach_close(struct gw *gw);
 /* Returns what is known about the links to the servers. */
 struct reach *gw_reach(const struct gw *gw);
-/*
- * Returns the address of a server that can be probed, other than this one, or
- * NULL. It is valid until the next change of the table.
- */
-const char *gw_reach_other_server(struct gw *gw, const char *address);
 /* Call every 20 ms. */
 void gw_reach_tick(struct gw *gw);
 
--- a/almondward/gateway_reach.c
+++ b/almondward/gateway_reach.c
@@ -53,7 +53,6 @@
 
 struct choice {
 	struct gw *gw;
-	const char *other_than; /* an address that is not chosen, or NULL */
 	const struct topo_server *server;
 	double score;
 };
@@ -91,9 +90,7 @@
 	double score = erand48(gw->random_state);
 
 	if (server->state == AW__SERVER_STATE__SERVER_LEAVING ||
-	    is_probed(reach, server->id) ||
-	    (choice->other_than &&
-	     !strcmp(choice->other_than, server->address)))
+	    is_probed(reach, server->id))
 		return;
 	if (reach->nr_probes % 2 == 0 &&
 	    !strcmp(set_region(cluster, server->zone), cluster->region))
@@ -108,14 +105,6 @@
 	choice->score = score;
 }
 
-const char *gw_reach_other_server(struct gw *gw, const char *address)
-{
-	struct choice choice = { .gw = gw, .other_than = address };
-
-	topo_each(gw->topo, consider, &choice);
-	return choice.server ? choice.server->address : NULL;
-}
-
 /* ---- probes ---- */
 
 static struct gw_reach_probe *find_unused(struct gw_reach *reach)
