exit_check: The repetition needs another server that accepts too

A server that accepts a connection is checked again after 500 ms. If the instance lost its links in between, so that connections were refused, the server was taken for exited, since another one had accepted at the first check. Found by reading. The repetition now starts without that proof.

ExitCheck.LinksMayBeLostBeforeTheRepetition failed before: the exit was reported at once.

--- a/almondward/exit_check.c
+++ b/almondward/exit_check.c
@@ -45,7 +45,10 @@
 		return false;
 	check->is_due = false;
 	check->is_repetition = check->repeat_ms != 0;
-	if (!check->is_repetition)
+	if (check->is_repetition)
+		/* The links may have been lost since another server accepted. */
+		check->other_accepted = false;
+	else
 		check->repeat_ms = now_ms + REPEAT_MS;
 	return true;
 }
--- a/tests/exit_check_test.cc
+++ b/tests/exit_check_test.cc
@@ -158,9 +158,25 @@
 	EXPECT_EQ(EXIT_CHECK_PENDING, state());
 	run(20);
 	connect_server(LOOP_PROBE_REFUSED);
+	connect_others();
 	EXPECT_EQ(EXIT_CHECK_EXITED, state());
 }
 
+// A server that runs was taken for exited if the instance lost its links before
+// the repetition, since another server had accepted before that.
+TEST_F(ExitCheck, LinksMayBeLostBeforeTheRepetition)
+{
+	connect_others();
+	connect_server(LOOP_PROBE_ACCEPTED);
+	run(500);
+	links_ok = false;
+	connect_server(LOOP_PROBE_REFUSED);
+	EXPECT_EQ(EXIT_CHECK_PENDING, state());
+	connect_others();
+	run(100);
+	EXPECT_EQ(EXIT_CHECK_NO_LINKS, state());
+}
+
 TEST_F(ExitCheck, ServerThatAcceptsHasNotExited)
 {
 	connect_others();
