gateway: Keep a grant valid that a change of the plan overtakes

Callers saw: a customer near its rate was refused with 429 for up to a window (5 s) after a change of the plan.

Cause: gw_plan_changed() set last_report_ms to 0 so that the next tick sends a report. apply_grant() takes the lifetime of a share from that time, so a grant that came between the change and the next report expired at once, and share_bucket_take() cut it to a tenth. The next report told the leader the smaller share, so the leader also counted the uses beyond it for a further window.

Change: a flag of its own (report_due) requests the early report; the time of the last report stays. Lifetimes begin as before with the last periodic report, so a change of the plan does not extend a share.

--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -168,6 +168,7 @@
 	uint64_t granted_sequence;
 	uint64_t granted_term;
 	bool tokens_needed; /* the next tick requests tokens */
+	bool report_due; /* the next tick sends a report before its time */
 	/* When the last report was sent; each requests tokens. */
 	uint64_t last_token_request_ms;
 
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -158,6 +158,8 @@
 		  (unsigned long long)feed->term,
 		  feed->plan ? "true" : "false");
 	gw_plan_changed(gw);
+	/* A new customer has almost no share before the next report. */
+	gw->report_due = true;
 	return 0;
 }
 
@@ -263,6 +265,7 @@
 	gw->last_token_request_ms = gw_now_ms(gw);
 	if (is_periodic) {
 		gw->last_report_ms = gw->last_token_request_ms;
+		gw->report_due = false;
 		gw->nr_periodic_reports++;
 	}
 	shares = calloc(nr + 1, sizeof(*shares));
@@ -470,11 +473,16 @@
 						   SHARE_REPORT_MAX_MS;
 }
 
+static bool is_report_due(const struct gw *gw)
+{
+	return gw->report_due ||
+	       gw_now_ms(gw) >= gw->last_report_ms + report_interval_ms(gw);
+}
+
 void gw_link_tick(struct gw *gw)
 {
 	follow_leader(gw);
-	if (gw->leader_link && gw->has_feed &&
-	    gw_now_ms(gw) >= gw->last_report_ms + report_interval_ms(gw))
+	if (is_report_due(gw) && gw_link_can_request_tokens(gw))
 		send_report(gw, true);
 	else if (gw->tokens_needed && gw_link_can_request_tokens(gw) &&
 		 gw_now_ms(gw) >=
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -2141,8 +2141,6 @@
 	const Aw__PlanLimits *limits = plan_message(gw->plan)->limits;
 
 	sync_customers(gw);
-	/* Reports at once: a new customer has almost no share before. */
-	gw->last_report_ms = 0;
 	if (limits && limits->body_max_bytes)
 		http_server_set_body_max(gw->callers, limits->body_max_bytes);
 	if (limits && limits->idle_timeout_ms)
--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -155,6 +155,119 @@
 	EXPECT_GE(most, 100u) << "the rate itself must be usable";
 }
 
+// A customer sends eight times its rate while changes of the plan make all
+// instances report before their time and reports and grants take up to 400 ms,
+// so that they cross each other and the changes. Counted in every window of 5 s.
+TEST_F(Share, HotCustomerStaysWithinItsLimitDuringPlanChanges)
+{
+	struct Message {
+		uint64_t due_ms;
+		struct share_report report;
+		struct share_grant grant;
+		uint64_t sequence, granted_sequence;
+	};
+	struct Instance {
+		std::string name;
+		std::deque<Message> to_leader, from_leader;
+		uint64_t sequence = 0, granted_sequence = 0;
+		uint64_t reported_ms = 0; // last periodic report
+		bool report_due = false; // before its time
+		uint32_t waiting = 0; // requests
+	};
+	std::mt19937 random(11);
+	std::vector<Instance> instances(12);
+	std::vector<uint64_t> admitted;
+
+	create(instances.size());
+	auto due_ms = [&](const std::deque<Message> &queue) {
+		uint64_t due = now() + random() % 400;
+
+		return queue.empty() ? due : std::max(due, queue.back().due_ms);
+	};
+	auto send_report = [&](size_t i, bool is_periodic) {
+		Instance &at = instances[i];
+		Message message = {};
+
+		if (is_periodic) {
+			at.reported_ms = now();
+			at.report_due = false;
+		}
+		message.due_ms = due_ms(at.to_leader);
+		message.report = { "c",
+				   at.name.c_str(),
+				   i + 1,
+				   share_bucket_demand(&buckets[i], now()),
+				   buckets[i].held,
+				   share_bucket_used(&buckets[i], now()),
+				   false,
+				   at.waiting };
+		message.sequence = ++at.sequence;
+		message.granted_sequence = at.granted_sequence;
+		at.waiting = 0;
+		at.to_leader.push_back(message);
+	};
+	auto deliver = [&](size_t i) {
+		Instance &at = instances[i];
+
+		while (!at.to_leader.empty() &&
+		       at.to_leader.front().due_ms <= now()) {
+			Message message = at.to_leader.front();
+
+			at.to_leader.pop_front();
+			message.report.confirmed =
+				message.granted_sequence + 1 ==
+				message.sequence;
+			message.grant = share_pool_report(
+				pool, &message.report, &LIMIT, buckets.size());
+			message.due_ms = due_ms(at.from_leader);
+			at.from_leader.push_back(message);
+		}
+		while (!at.from_leader.empty() &&
+		       at.from_leader.front().due_ms <= now()) {
+			Message message = at.from_leader.front();
+
+			at.from_leader.pop_front();
+			at.granted_sequence = message.sequence;
+			share_bucket_grant(&buckets[i], &message.grant,
+					   at.reported_ms);
+			for (uint32_t n = 0; n < message.grant.tokens; n++)
+				admitted.push_back(now());
+		}
+	};
+	for (size_t i = 0; i < instances.size(); i++)
+		instances[i].name = "entry-" + std::to_string(i);
+	for (int step = 0; step < 50 * 120; step++) {
+		bool plan_changes = random() % 40 == 0;
+
+		share_pool_tick(pool);
+		for (size_t i = 0; i < instances.size(); i++) {
+			Instance &at = instances[i];
+
+			at.report_due |= plan_changes;
+			deliver(i);
+			if (at.report_due || now() >= at.reported_ms + 500)
+				send_report(i, true);
+			else if (at.waiting)
+				send_report(i, false);
+			if (random() % 4)
+				continue;
+			if (take(i))
+				admitted.push_back(now());
+			else
+				at.waiting++;
+		}
+		clk_advance_ms(clk, 20);
+	}
+	size_t first = 0, most = 0;
+	for (size_t last = 0; last < admitted.size(); last++) {
+		while (admitted[first] + 5000 <= admitted[last])
+			first++;
+		most = std::max(most, last - first + 1);
+	}
+	EXPECT_LE(most, LIMIT.requests);
+	EXPECT_GE(admitted.size(), 100u * 20);
+}
+
 // The sum of the shares must stay within the limit also while demand moves
 // between instances and grants are lost.
 TEST_F(Share, SharesNeverExceedTheLimit)
