gateway: Check the deadline and send with one reading of the clock

Callers saw: nothing so far (found by reading). If the process loses the processor between the check of the deadline and the sending, a server is given 2^32 ms minus the lateness (49 days) as X-Deadline-Ms, and a relayed request is held for as long by the instance that relays it.

Cause: send_call() and send_to() of relays read the clock again after the check and subtracted it from the deadline without a sign.

Change: send_attempt() and gw_relay_start() read the clock once, check the deadline and pass the time left on. It is at least 1 ms, so the header is never left out either, as it is for 0. A paused clock can call the test before each reading (clk_on_read), so a test lets time pass between any two readings.

Tests: time passes before the Nth reading, for each N of a request.

All other subtractions of times in the two directories, by reading: * guarded and computed with the same reading: agent_report, agent_servers, agent_tokens (retry_after, and return_excess, where the later reading drops what has expired), alloc_tokens, control_crashes, coord, crashes, entry_dispatch (send_attempt, cancellations), gateway (grace, late tick), gateway_slots, http_server, limit (fill, returns_next), loop, pace, quarantine, registry, shift, steer (retry_after; one reading for each call), topo (left_ms); * a present reading minus an earlier one of the same clock: agent, alloc_slots, control_propose, control_service, crashes and quarantine (ages), decision, entry_finish, gateway_backend, gateway_request (log, attempt_ms), http_client, limit (decay_rate), peer, registry, route, share, steer, topo; * signed: aim_left_ms and the log line of gateway_request; * topo_heartbeat(): last_heartbeat_ms = now - age_ms wraps if another control instance names an age above this machine's uptime; the age is computed back with the same arithmetic, so the result is right.

--- a/almondward/clock.c
+++ b/almondward/clock.c
@@ -8,6 +8,8 @@
 	bool paused;
 	uint64_t now_ms;
 	int64_t wall_offset_ms; /* paused clock: wall-clock time minus now_ms */
+	void (*on_read)(void *arg); /* paused clock: see clk_on_read() */
+	void *on_read_arg;
 };
 
 struct clk *clk_create_system(void)
@@ -46,7 +48,11 @@
 
 uint64_t clk_now_us(const struct clk *clk)
 {
-	return clk->paused ? clk->now_ms * 1000 : read_us(CLOCK_BOOTTIME);
+	if (!clk->paused)
+		return read_us(CLOCK_BOOTTIME);
+	if (clk->on_read)
+		clk->on_read(clk->on_read_arg);
+	return clk->now_ms * 1000;
 }
 
 uint64_t clk_wall_ms(const struct clk *clk)
@@ -64,3 +70,9 @@
 {
 	clk->now_ms += delta_ms;
 }
+
+void clk_on_read(struct clk *clk, void (*fn)(void *arg), void *arg)
+{
+	clk->on_read = fn;
+	clk->on_read_arg = arg;
+}
--- a/almondward/clock.h
+++ b/almondward/clock.h
@@ -46,6 +46,13 @@
  */
 void clk_advance_ms(struct clk *clk, uint64_t delta_ms);
 
+/*
+ * Calls fn before each reading of a paused clock, which fn may advance: so a
+ * test can let time pass between two readings of one function. NULL: none. Has
+ * no effect on a system clock.
+ */
+void clk_on_read(struct clk *clk, void (*fn)(void *arg), void *arg);
+
 #ifdef __cplusplus
 }
 #endif
--- a/almondward/gateway_relay.c
+++ b/almondward/gateway_relay.c
@@ -276,14 +276,14 @@
 	return nr;
 }
 
-static bool send_to(struct gw_relay *relay, struct gw_relay_peer *peer)
+static bool send_to(struct gw_relay *relay, struct gw_relay_peer *peer,
+		    uint32_t left_ms)
 {
 	struct gw *gw = relay->gw;
-	uint64_t left_ms = relay->deadline_ms - gw_now_ms(gw);
 	struct http_header headers[HEADERS_MAX + 2];
 	struct svc_forward_text text;
 	struct http_header deadline =
-		gw->adapter->relay_deadline((uint32_t)left_ms, &text);
+		gw->adapter->relay_deadline(left_ms, &text);
 	struct http_call call = {
 		.method = relay->req->method,
 		.target = relay->req->target,
@@ -293,7 +293,7 @@
 		.body_bytes = relay->req->body_bytes,
 		.response_max_bytes = relay->response_max_bytes,
 		.response_memory = &gw->response_memory,
-		.timeout_ms = (uint32_t)left_ms,
+		.timeout_ms = left_ms,
 		.matches_request = is_own_response,
 		.request_sent = on_body_sent,
 		.done = on_done,
@@ -312,14 +312,21 @@
 	return true;
 }
 
-static bool has_time(const struct gw_relay *relay)
+/*
+ * Returns the time left, or 0 if it is not enough for a relay.
+ */
+static uint32_t usable_time_ms(const struct gw_relay *relay)
 {
-	return gw_now_ms(relay->gw) + RELAY_TIME_MIN_MS < relay->deadline_ms;
+	uint64_t now_ms = gw_now_ms(relay->gw);
+
+	return now_ms + RELAY_TIME_MIN_MS < relay->deadline_ms ?
+		       (uint32_t)(relay->deadline_ms - now_ms) :
+		       0;
 }
 
 bool gw_relay_possible(const struct gw_relay *relay)
 {
-	return relay->nr_tried < GW_RELAY_TRIED_MAX && has_time(relay) &&
+	return relay->nr_tried < GW_RELAY_TRIED_MAX && usable_time_ms(relay) &&
 	       choose_instance(relay);
 }
 
@@ -327,10 +334,13 @@
 {
 	const Aw__Instance *instance;
 	struct gw_relay_peer *peer;
+	uint32_t left_ms;
 
-	while (relay->nr_tried < GW_RELAY_TRIED_MAX && has_time(relay) &&
+	while (relay->nr_tried < GW_RELAY_TRIED_MAX &&
 	       (instance = choose_instance(relay)) != NULL) {
-		peer = get_peer(relay->gw, instance);
+		/* The clock is read once for the check and the time left. */
+		left_ms = usable_time_ms(relay);
+		peer = left_ms ? get_peer(relay->gw, instance) : NULL;
 		if (!peer)
 			return false;
 		snprintf(relay->via, sizeof(relay->via), "%s", peer->name);
@@ -338,7 +348,7 @@
 			 peer->address);
 		memcpy(relay->tried[relay->nr_tried++], relay->via,
 		       sizeof(relay->via));
-		if (send_to(relay, peer)) {
+		if (send_to(relay, peer, left_ms)) {
 			gw_count(relay->gw, "relays", "sent");
 			return true;
 		}
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1322,17 +1322,16 @@
 			NULL);
 }
 
-static bool send_call(struct gw_request *request)
+static bool send_call(struct gw_request *request, uint32_t left_ms)
 {
 	const struct http_request *req = request->req;
 	struct http_header headers[HEADERS_MAX];
-	uint64_t now_ms = gw_now_ms(request->gw);
 	const struct steer_server *server = request->choice.server;
 	struct svc_forward_text text;
 	struct svc_forward forward_info = {
 		.server_id = steer_server_id(server),
 		.customer = *request->customer ? request->customer : NULL,
-		.left_ms = (uint32_t)(request->deadline_ms - now_ms),
+		.left_ms = left_ms,
 	};
 	struct http_call call = {
 		.method = req->method,
@@ -1342,8 +1341,9 @@
 		.body_bytes = req->body_bytes,
 		.response_max_bytes = answer_max_bytes(request->gw),
 		.response_memory = &request->gw->response_memory,
-		.timeout_ms = forward_info.left_ms,
-		.settle_ms = now_ms < request->gw->settle_until_ms ?
+		.timeout_ms = left_ms,
+		.settle_ms = gw_now_ms(request->gw) <
+					     request->gw->settle_until_ms ?
 				     GW_SETTLE_MS :
 				     0,
 		.may_send = on_established,
@@ -1513,13 +1513,17 @@
 }
 
 /*
- * Starts an attempt. Returns false when no connection can be made.
+ * Starts an attempt. Returns false when no connection can be made, or when the
+ * deadline has passed since the server was chosen. The clock is read once for
+ * this check and the time left: the process may lose the processor in between.
  */
 static bool send_attempt(struct gw_request *request)
 {
 	struct gw *gw = request->gw;
 	uint64_t now_ms = gw_now_ms(gw);
 
+	if (now_ms >= request->deadline_ms)
+		return false;
 	request->attempt.sent_ms = now_ms;
 	request->attempt.load = request->choice.load;
 	snprintf(request->server_id, sizeof(request->server_id), "%s",
@@ -1535,7 +1539,7 @@
 	request->settles_ms = 0;
 	request->has_settled = false;
 	reach_attempt_begin(gw_reach(gw));
-	if (!send_call(request)) {
+	if (!send_call(request, (uint32_t)(request->deadline_ms - now_ms))) {
 		end_attempt(request, STEER_UNREACHED, "no_connection", NULL);
 		return false;
 	}
--- /dev/null
+++ b/tests/gateway_request_test.cc
@@ -0,0 +1,258 @@
+// Tests how an entry instance forwards a request to a server. The test takes
+// the part of the caller and the server.
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "gateway_internal.h"
+}
+#include "net_fixture.h"
+#include "platform.h"
+
+namespace
+{
+
+const uint32_t ROUTE_TIMEOUT_MS = 2500;
+const uint64_t LOST_MS = 10000; // for which the processor is taken away
+// The time of the instance is ahead of that of the loop, which tells when a
+// request came: the request seems to have come earlier, but never later.
+const uint64_t AHEAD_MS = 500;
+
+struct Server {
+	struct http_server *server = nullptr;
+	std::string address;
+	std::vector<std::string> deadlines; // of the requests, "": none
+
+	explicit Server(Net &net)
+	{
+		struct http_server_settings settings = {};
+
+		settings.address = "127.0.0.1:0";
+		settings.body_max_bytes = 100000;
+		settings.connections_max = 100;
+		settings.idle_timeout_ms = 15000;
+		settings.head_timeout_ms = 5000;
+		settings.body_timeout_ms = 5000;
+		EXPECT_EQ(LOOP_OK,
+			  http_server_create(net.loop, &settings, on_request,
+					     this, &server));
+		address = http_server_address(server);
+	}
+
+	~Server()
+	{
+		http_server_destroy(server);
+	}
+
+	static void on_request(void *arg, struct http_exchange *exchange,
+			       const struct http_request *req)
+	{
+		const char *deadline = http_header_value(
+			req->headers, req->nr_headers, "X-Deadline-Ms");
+		const char *id = http_header_value(
+			req->headers, req->nr_headers, "X-Request-Id");
+		struct http_header headers[] = { { "X-Request-Id", id } };
+		struct http_response response = {};
+
+		((Server *)arg)->deadlines.push_back(deadline ? deadline : "");
+		response.status = 200;
+		response.headers = headers;
+		response.nr_headers = 1;
+		response.body = (const uint8_t *)"ok";
+		response.body_bytes = 2;
+		http_respond(exchange, &response);
+	}
+};
+
+// An entry instance with one server.
+struct Gateway {
+	Net net;
+	struct clk *clk = clk_create_paused(clk_now_ms(net.clk) + AHEAD_MS);
+	Server server{ net };
+	struct set_settings settings = {};
+	struct gw gw = {};
+	int readings = 0, lost_at = 0; // reading before which time is lost
+
+	Gateway()
+	{
+		struct set_cluster *cluster = &settings.cluster;
+		struct http_server_settings callers = {};
+
+		snprintf(settings.name, sizeof(settings.name), "entry-0");
+		snprintf(settings.zone, sizeof(settings.zone), "a1");
+		snprintf(cluster->region, sizeof(cluster->region), "ra");
+		snprintf(cluster->zones[0].name, NAME_BYTES_MAX, "a1");
+		snprintf(cluster->zones[0].region, NAME_BYTES_MAX, "ra");
+		cluster->nr_zones = 1;
+		cluster->bounds.rate_window_ms = 5000;
+		gw.settings = &settings;
+		gw.adapter = platform_adapter();
+		gw.clk = clk;
+		gw.loop = net.loop;
+		gw.counters = ctr_set_create();
+		gw.plan = plan_create();
+		gw.topo = topo_create(clk);
+		gw.steer = steer_create(clk, cluster, "a1", "entry-0");
+		gw.latency = hist_create("answer_seconds");
+		gw.wait_time = hist_create("wait_seconds");
+		steer_on_drop(gw.steer, gw_backend_drop, &gw);
+		EXPECT_EQ(0, gw_slots_open(&gw));
+		EXPECT_EQ(0, gw_crash_open(&gw));
+		EXPECT_EQ(0, gw_reach_open(&gw));
+		callers.address = "127.0.0.1:0";
+		callers.body_max_bytes = 100000;
+		callers.connections_max = 100;
+		callers.idle_timeout_ms = 15000;
+		callers.head_timeout_ms = 5000;
+		callers.body_timeout_ms = 5000;
+		EXPECT_EQ(LOOP_OK,
+			  http_server_create(net.loop, &callers, gw_on_request,
+					     &gw, &gw.callers));
+		sync();
+	}
+
+	~Gateway()
+	{
+		clk_on_read(clk, nullptr, nullptr);
+		gw_request_drop_all(&gw);
+		gw_relay_close(&gw);
+		gw_reach_close(&gw);
+		http_server_destroy(gw.callers);
+		gw_slots_close(&gw);
+		gw_crash_close(&gw);
+		steer_destroy(gw.steer);
+		topo_destroy(gw.topo);
+		plan_destroy(gw.plan);
+		while (gw.upstreams) {
+			struct gw_upstream *upstream = gw.upstreams;
+
+			HASH_DEL(gw.upstreams, upstream);
+			free(upstream);
+		}
+		hist_destroy(gw.latency);
+		hist_destroy(gw.wait_time);
+		ctr_set_destroy(gw.counters);
+		clk_destroy(clk);
+	}
+
+	void sync()
+	{
+		Aw__PlanUpstream upstream = AW__PLAN_UPSTREAM__INIT;
+		Aw__PlanUpstream *upstreams[] = { &upstream };
+		Aw__PlanPart part = AW__PLAN_PART__INIT;
+		Aw__PlanPart *parts[] = { &part };
+		Aw__PlanRoute route = AW__PLAN_ROUTE__INIT;
+		Aw__PlanRoute *routes[] = { &route };
+		Aw__Plan plan = AW__PLAN__INIT;
+		Aw__Server message = AW__SERVER__INIT;
+		Aw__Server *servers[] = { &message };
+		Aw__Instance instance = AW__INSTANCE__INIT;
+		Aw__Instance *instances[] = { &instance };
+		Aw__Feed feed = AW__FEED__INIT;
+
+		upstream.name = (char *)"desk";
+		part.upstream = upstream.name;
+		part.weight = 1;
+		route.name = (char *)"read";
+		route.host = (char *)"t.example";
+		route.path_prefix = (char *)"/read/";
+		route.timeout_ms = ROUTE_TIMEOUT_MS;
+		route.attempts_max = 2;
+		route.parts = parts;
+		route.n_parts = 1;
+		plan.index = plan.version = 1;
+		plan.upstreams = upstreams;
+		plan.n_upstreams = 1;
+		plan.routes = routes;
+		plan.n_routes = 1;
+		ASSERT_EQ(0, plan_replace(gw.plan, &plan));
+		message.id = (char *)"server-1";
+		message.upstream = upstream.name;
+		message.zone = (char *)"a1";
+		message.address = (char *)server.address.c_str();
+		message.slots = 8;
+		message.incarnation = message.sequence = 1;
+		message.state = AW__SERVER_STATE__SERVER_ACTIVE;
+		instance.name = settings.name;
+		instance.zone = (char *)"a1";
+		instance.address = (char *)http_server_address(gw.callers);
+		instance.state = AW__INSTANCE_STATE__INSTANCE_ACTIVE;
+		feed.term = feed.table_version = 1;
+		feed.table_whole = feed.lists_included = true;
+		feed.servers = servers;
+		feed.n_servers = 1;
+		feed.instances = instances;
+		feed.n_instances = 1;
+		ASSERT_EQ(0, topo_apply_feed(gw.topo, &feed));
+		ASSERT_EQ(0,
+			  steer_sync(gw.steer, gw.topo, gw.plan, nullptr, 0));
+	}
+
+	static void on_read(void *arg)
+	{
+		auto self = (Gateway *)arg;
+
+		if (++self->readings == self->lost_at)
+			clk_advance_ms(self->clk, LOST_MS);
+	}
+
+	// Sends a request. The processor is taken away before the given reading
+	// of the clock. Returns the response.
+	std::string request(int at_reading)
+	{
+		RawConn caller(net, http_server_address(gw.callers));
+
+		readings = 0;
+		lost_at = at_reading;
+		clk_on_read(clk, on_read, this);
+		caller.send(
+			"GET /read/1 HTTP/1.1\r\nHost: t.example\r\n"
+			"X-Request-Id: id-1\r\nX-Deadline-Ms: 4000\r\n\r\n");
+		EXPECT_TRUE(net.until([&] {
+			return caller.received.find("\r\n\r\n") !=
+			       std::string::npos;
+		})) << "no response, time lost at reading "
+		    << at_reading;
+		clk_on_read(clk, nullptr, nullptr);
+		return caller.received;
+	}
+};
+
+// Checks that the server was given no more time than the route allows.
+void expect_bounded(const Server &server, int at_reading)
+{
+	for (const auto &deadline : server.deadlines) {
+		ASSERT_NE("", deadline)
+			<< "time lost at reading " << at_reading;
+		EXPECT_GT(std::stoul(deadline), 0u)
+			<< "time lost at reading " << at_reading;
+		EXPECT_LE(std::stoul(deadline), ROUTE_TIMEOUT_MS)
+			<< "time lost at reading " << at_reading;
+	}
+}
+
+// The processor is taken away between any two readings of the clock. Between
+// the check of the deadline and the sending of the request, the time left
+// became negative, and the server was given 49 days.
+TEST(GatewayRequest, ServerNeverGetsMoreTimeThanIsLeft)
+{
+	int sent = 0, last = 1;
+
+	for (int at = 1; at <= last; at++) {
+		Gateway gateway;
+		std::string response = gateway.request(at);
+
+		expect_bounded(gateway.server, at);
+		sent += !gateway.server.deadlines.empty();
+		if (gateway.server.deadlines.empty()) {
+			EXPECT_NE(std::string::npos, response.find(" 503 "))
+				<< response;
+		}
+		last = gateway.readings;
+	}
+	EXPECT_GE(last, 8) << "readings of the clock by one request";
+	EXPECT_GE(sent, 1);
+}
+
+} // namespace
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -260,6 +260,55 @@
 	EXPECT_LE(left_ms, 2000);
 }
 
+// The processor is taken away between any two readings of the clock. Between
+// the check of the time left and the sending of the request, the time became
+// negative: the other instance was given 49 days, and the request was held for
+// as long.
+TEST_F(Relay, NeverGivesMoreTimeThanIsLeft)
+{
+	struct Clock {
+		struct clk *clk = clk_create_paused(1000000);
+		int readings = 0, lost_at = 0;
+
+		static void on_read(void *arg)
+		{
+			auto self = (Clock *)arg;
+
+			if (++self->readings == self->lost_at)
+				clk_advance_ms(self->clk, 10000);
+		}
+	};
+	auto other = add("other", "a2");
+	int last = 1, nr_started = 0;
+
+	sync();
+	for (int at = 1; at <= last; at++) {
+		Clock clock;
+
+		gw.clk = clock.clk;
+		other->headers.clear();
+		clock.lost_at = at + 1; // start() reads the deadline first
+		clk_on_read(clock.clk, Clock::on_read, &clock);
+		if (start()) {
+			nr_started++;
+			ASSERT_TRUE(net.until([this] { return done; }));
+			EXPECT_GT(std::stoul(other->headers["X-Deadline-Ms"]),
+				  0u)
+				<< "time lost at reading " << at;
+			EXPECT_LE(std::stoul(other->headers["X-Deadline-Ms"]),
+				  2000u)
+				<< "time lost at reading " << at;
+		}
+		last = clock.readings;
+		gw_relay_cancel(&relay);
+		gw_relay_close(&gw);
+		gw.clk = net.clk;
+		clk_destroy(clock.clk);
+	}
+	EXPECT_GE(last, 2) << "readings of the clock by one relay";
+	EXPECT_GE(nr_started, 1);
+}
+
 // Otherwise two instances that reach no server would pass it on forever.
 TEST_F(Relay, RelayedRequestsAreRecognized)
 {
