control: Let an unknown service end no server of another

Callers saw: after a heartbeat with the state of a departure, of a service that the plan does not name but with the id of a good server, that server got no more requests; with a start in the future also after restarts under the same id.

Cause: on_heartbeat() recorded every departure. topo_heartbeat() never lets a server of an unknown upstream take the id or address of one of a known upstream, but departures did not pass there.

Change: a departure that names an unknown upstream counts only if the table lists the server under that upstream (topo_may_leave). Otherwise it is answered with 400, because a departure that is not recorded must not be acknowledged; a server whose service is unknown gets no requests. A repeated departure is acknowledged as before. A departure without a body (DELETE) names no service and is recorded as before.

Topo.UnplannedServerEndsNoOther covers the decision.

--- a/almondward/control_service.c
+++ b/almondward/control_service.c
@@ -360,14 +360,14 @@
 }
 
 static void refuse_heartbeat(struct ctl *ctl, struct http_exchange *exchange,
-			     const Aw__Server *server)
+			     const Aw__Server *server, const char *reason,
+			     const char *detail)
 {
 	char id[EVENT_TEXT_BYTES];
 
-	event_log(EVENT_HEARTBEAT, "server=%s reason=invalid",
-		  event_quote(server->id, id));
-	respond_error(ctl, exchange, 400, "heartbeat",
-		      "a field is out of range");
+	event_log(EVENT_HEARTBEAT, "server=%s reason=%s",
+		  event_quote(server->id, id), reason);
+	respond_error(ctl, exchange, 400, "heartbeat", detail);
 }
 
 static void receive_heartbeat(struct ctl *ctl, struct http_exchange *exchange,
@@ -402,12 +402,8 @@
 	 * a frame that one of them makes too large would lose the others.
 	 */
 	if (!topo_is_valid(server)) {
-		refuse_heartbeat(ctl, exchange, server);
-		return;
-	}
-	if (server->state == AW__SERVER_STATE__SERVER_LEAVING) {
-		record_departure(ctl, exchange, server->id,
-				 server->incarnation);
+		refuse_heartbeat(ctl, exchange, server, "invalid",
+				 "a field is out of range");
 		return;
 	}
 	/* A late heartbeat of a server that has announced its departure. */
@@ -415,6 +411,16 @@
 		respond(exchange, 200, "{}", 2);
 		return;
 	}
+	if (server->state == AW__SERVER_STATE__SERVER_LEAVING) {
+		/* Not acknowledged, since it is not recorded. */
+		if (topo_may_leave(ctl->cluster->topo, server))
+			record_departure(ctl, exchange, server->id,
+					 server->incarnation);
+		else
+			refuse_heartbeat(ctl, exchange, server, "not_planned",
+					 "the service is not known");
+		return;
+	}
 	receive_heartbeat(ctl, exchange, server);
 }
 
--- a/almondward/topo.c
+++ b/almondward/topo.c
@@ -336,6 +336,14 @@
 	return TOPO_ACCEPTED;
 }
 
+bool topo_may_leave(const struct topo *topo, const Aw__Server *from)
+{
+	const struct server_entry *entry = find_server(topo, from->id);
+
+	return is_planned(topo, from->upstream) ||
+	       (entry && !strcmp(entry->server.upstream, from->upstream));
+}
+
 void topo_leave(struct topo *topo, const char *id, uint64_t incarnation)
 {
 	struct server_entry *entry = find_server(topo, id);
--- a/almondward/topo.h
+++ b/almondward/topo.h
@@ -97,6 +97,14 @@
 enum topo_heartbeat_result topo_heartbeat(struct topo *topo,
 					  const Aw__Server *from);
 
+/*
+ * Returns whether the announcement of a departure counts. One that names an
+ * upstream that is not planned counts only for a server that the table lists
+ * under that upstream: it must not end one that requests are sent to, nor one
+ * that has yet to be listed.
+ */
+bool topo_may_leave(const struct topo *topo, const Aw__Server *from);
+
 /*
  * Removes a server that leaves, if the table has this incarnation of it or an
  * earlier one. It gets no new requests.
--- a/tests/process_entries.py
+++ b/tests/process_entries.py
@@ -203,6 +203,48 @@
     assert len(server.arrivals) > before, "the server gets no requests any more"
 
 
+async def unnamed_services_end_no_upstream(cluster):
+    """Heartbeats with the state of a departure, with the id of a server but of a service
+    that the configuration does not name: the server keeps getting requests. A server
+    of such a service can still announce its own departure, and so can the good one."""
+    server, other = cluster.servers["server-0"], cluster.servers["server-1"]
+
+    async def send(name, **changed):
+        body = dict(json.loads(server.heartbeat_body()), **changed)
+        answers = [await clusterlib.call(address, "PUT", f"/api/instances/{name}", None,
+                                         json.dumps(body).encode(), 1.0)
+                   for address in cluster.control_order()]
+        return [answer and answer.status for answer in answers]
+
+    callers = Callers(cluster, "entry-0")
+    statuses = []
+    for born in (server.born, server.born + 60000):
+        for name in (server.name, "never-seen"):
+            statuses += await send(name, service="unnamed", state="draining", born=born)
+    await asyncio.sleep(1)
+    before = len(server.arrivals)
+    await asyncio.sleep(2)
+    assert len(server.arrivals) > before, "the server gets no requests any more"
+    # A departure that is not recorded must not be acknowledged.
+    assert set(statuses) == {400}, statuses
+
+    unnamed = dict(service="unnamed", address="127.0.0.1:9", born=server.born)
+    assert set(await send("own", **unnamed)) == {200}
+    await asyncio.sleep(0.5)  # until the other control instances have it in their table
+    assert set(await send("own", state="draining", **unnamed)) == {200}
+    other.state = "draining"
+    end = time.monotonic() + 5
+    while other.left_at is None and time.monotonic() < end:
+        await asyncio.sleep(0.05)
+    assert other.left_at is not None, "the departure is not acknowledged"
+    await asyncio.sleep(1)
+    before = len(other.arrivals)
+    await asyncio.sleep(1)
+    assert len(other.arrivals) == before, "the server has announced its departure"
+    await callers.check()
+    check_processes(cluster)
+
+
 async def large_heartbeats_displace_no_others(cluster):
     """A control instance that is not the leader forwards heartbeats together. Some of
     several megabytes must not keep it from forwarding the others: the servers, all
@@ -316,7 +358,8 @@
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream,
-             unnamed_services_displace_no_upstream, large_heartbeats_displace_no_others,
+             unnamed_services_displace_no_upstream, unnamed_services_end_no_upstream,
+             large_heartbeats_displace_no_others,
              restart_with_odd_entries_in_the_log, odd_configurations_are_refused,
              long_route_names_keep_their_weights]
     chosen = sys.argv[2:]
--- a/tests/topo_test.cc
+++ b/tests/topo_test.cc
@@ -116,6 +116,38 @@
 	EXPECT_STREQ("u", topo_find(topo, "s1")->upstream);
 }
 
+// A departure that named an unknown upstream ended the server with that id.
+TEST_F(Topo, UnplannedServerEndsNoOther)
+{
+	Aw__Server server = AW__SERVER__INIT;
+	auto may_leave = [&](const char *id, const char *upstream) {
+		server.id = (char *)id;
+		server.upstream = (char *)upstream;
+		return topo_may_leave(topo, &server);
+	};
+
+	server.address = (char *)"10.0.0.2:80";
+	server.zone = (char *)"z1";
+	server.slots = 4;
+	server.incarnation = 20;
+	topo_set_planned(
+		topo,
+		[](void *, const char *upstream) {
+			return !strcmp(upstream, "u");
+		},
+		nullptr);
+	EXPECT_EQ(TOPO_ACCEPTED, heartbeat("s1", 10, 1));
+	EXPECT_FALSE(may_leave("s1", "unnamed"));
+	EXPECT_FALSE(may_leave("s2", "unnamed")) << "may be listed later";
+	EXPECT_TRUE(may_leave("s1", "u"));
+	EXPECT_TRUE(may_leave("s2", "u"));
+	server.id = (char *)"own";
+	server.upstream = (char *)"unnamed";
+	EXPECT_EQ(TOPO_ACCEPTED, topo_heartbeat(topo, &server));
+	EXPECT_TRUE(may_leave("own", "unnamed"));
+	EXPECT_FALSE(may_leave("own", "other"));
+}
+
 TEST_F(Topo, InvalidHeartbeatAddsNoServer)
 {
 	EXPECT_EQ(TOPO_INVALID, heartbeat("", 1, 1));
