--- a/almondward/topo.c
+++ b/almondward/topo.c
@@ -178,21 +178,6 @@
 	}
 }
 
-/*
- * Names are written to logs and request headers, so they must not contain
- * control characters.
- */
-static bool is_valid_name(const char *text)
-{
-	size_t len_bytes = 0;
-
-	for (; text[len_bytes]; len_bytes++)
-		if ((unsigned char)text[len_bytes] < ' ' ||
-		    text[len_bytes] == 0x7f)
-			return false;
-	return len_bytes && len_bytes < NAME_BYTES_MAX;
-}
-
 static bool is_valid_address(const char *address)
 {
 	bool is_wildcard = false;
@@ -202,8 +187,8 @@
 
 bool topo_is_valid(const Aw__Server *server)
 {
-	return is_valid_name(server->id) && is_valid_name(server->upstream) &&
-	       is_valid_name(server->zone) &&
+	return name_is_valid(server->id) && name_is_valid(server->upstream) &&
+	       name_is_valid(server->zone) &&
 	       is_valid_address(server->address) && server->slots &&
 	       server->slots <= TOPO_SLOTS_MAX &&
 	       server->cold_left_ms <= WARM_UP_MAX_MS;
--- a/almondward/types.c
+++ b/almondward/types.c
@@ -53,3 +53,14 @@
 {
 	return refusals[refusal].status;
 }
+
+bool name_is_valid(const char *name)
+{
+	size_t len_bytes = 0;
+
+	for (; name[len_bytes]; len_bytes++)
+		if ((unsigned char)name[len_bytes] < ' ' ||
+		    name[len_bytes] == 0x7f)
+			return false;
+	return len_bytes && len_bytes < NAME_BYTES_MAX;
+}
--- a/almondward/types.h
+++ b/almondward/types.h
@@ -86,6 +86,13 @@
  */
 uint32_t refusal_status(enum refusal refusal);
 
+/*
+ * Returns whether a name that others chose can be used: it is not empty, fits
+ * into NAME_BYTES_MAX, and has no control characters, since names are written to
+ * logs and request headers.
+ */
+bool name_is_valid(const char *name);
+
 #ifdef __cplusplus
 }
 #endif
