http_client: Set the time to read on outside of a question

may_have_response() has the name of a question, but also set the time until which the rest of a late response is read. on_timer() sets it now, with the same reading of the clock, and the question takes a const connection.

--- a/almondward/http_client.c
+++ b/almondward/http_client.c
@@ -425,28 +425,25 @@
 };
 
 /*
- * Returns true while the rest of the response may be in the socket, for READ_MS
- * after the time limit was noticed.
+ * Returns whether the rest of the response may be in the socket. It is read for
+ * READ_MS after the time limit was noticed.
  */
-static bool may_have_response(struct http_conn *conn)
+static bool may_have_response(const struct http_conn *conn, uint64_t now_ms)
 {
-	uint64_t now_ms = clk_now_ms(loop_clock(conn->loop));
-
-	if (conn->state != CLIENT_WAITING)
-		return false;
-	if (!conn->read_until_ms)
-		conn->read_until_ms = now_ms + READ_MS;
-	return now_ms < conn->read_until_ms &&
+	return conn->state == CLIENT_WAITING && now_ms < conn->read_until_ms &&
 	       loop_conn_has_input(conn->loop_conn);
 }
 
 static void on_timer(void *arg)
 {
 	struct http_conn *conn = arg;
+	uint64_t now_ms = clk_now_ms(loop_clock(conn->loop));
 
 	if (!conn->busy)
 		return;
-	if (may_have_response(conn))
+	if (!conn->read_until_ms)
+		conn->read_until_ms = now_ms + READ_MS;
+	if (may_have_response(conn, now_ms))
 		loop_timer_set(conn->timer, 0);
 	else
 		fail(conn, conn->state == CLIENT_FAILED ? conn->failure :
