tests: Share the main function of three process tests

process_partition.py, process_limits.py and process_entries.py chose and ran their cases with the same lines; run_chosen() of cluster.py does it for all three. Cases, options and assertions are unchanged.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -4,10 +4,12 @@
 same port for peer connections. The binary starts no processes: this module
 starts each instance and terminates it by its process id.
 """
+import argparse
 import asyncio
 import ctypes
 import ipaddress
 import json
+import os
 import pathlib
 import random
 import signal
@@ -815,3 +817,17 @@
             failed += 1
             print(f"not ok {name}  # {type(error).__name__}: {error}", flush=True)
     sys.exit(1 if failed else 0)
+
+
+def run_chosen(cases, **options):
+    """Runs the cases that the command line (BUILD [--seed N] [CASE...]) names, or all of
+    them, each on a new cluster with these options."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("cases", nargs="*")
+    args = parser.parse_intermixed_args()
+    os.environ.setdefault("PYTHONUNBUFFERED", "1")
+    run_cases([(case.__name__,
+                lambda case=case: run_case(args.build, case, seed=args.seed, **options))
+               for case in cases if not args.cases or case.__name__ in args.cases])
--- a/tests/process_entries.py
+++ b/tests/process_entries.py
@@ -3,9 +3,7 @@
 configurations of another writer, with values that no upstream or operator sends."""
 import asyncio
 import json
-import os
 import signal
-import sys
 import time
 
 import cluster as clusterlib
@@ -355,16 +353,12 @@
 
 
 def main():
-    build = sys.argv[1]
-    os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [odd_heartbeats_name_no_upstream, odd_notices_remove_no_upstream,
              unnamed_services_displace_no_upstream, unnamed_services_end_no_upstream,
              large_heartbeats_displace_no_others,
              restart_with_odd_entries_in_the_log, odd_configurations_are_refused,
              long_route_names_keep_their_weights]
-    chosen = sys.argv[2:]
-    clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
-                          for case in cases if not chosen or case.__name__ in chosen])
+    clusterlib.run_chosen(cases)
 
 
 if __name__ == "__main__":
--- a/tests/process_limits.py
+++ b/tests/process_limits.py
@@ -2,9 +2,7 @@
 """Servers that name a limit of requests a second for all instances together, with
 real processes."""
 import asyncio
-import os
 import signal
-import sys
 import time
 
 import cluster as clusterlib
@@ -316,16 +314,11 @@
 
 
 def main():
-    build = sys.argv[1]
-    os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [limit_covers_all_instances, all_servers_limited, refused_callers_return_in_time,
              limit_is_lowered_raised_and_dropped, limit_with_uneven_traffic,
              limit_for_second_attempts_and_writes, limit_while_instances_fail,
              limit_without_control, limit_of_cold_servers, limit_of_zero]
-    chosen = sys.argv[2:]
-    clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(
-        build, case, nr_entries=4, nr_servers=6)) for case in cases
-        if not chosen or case.__name__ in chosen])
+    clusterlib.run_chosen(cases, nr_entries=4, nr_servers=6)
 
 
 if __name__ == "__main__":
--- a/tests/process_partition.py
+++ b/tests/process_partition.py
@@ -2,9 +2,7 @@
 """Entry instances that lose their links to the backend servers, while callers, the
 control instances and the other entry instances still reach them, with real
 processes."""
-import argparse
 import asyncio
-import os
 import time
 
 import cluster as clusterlib
@@ -541,12 +539,6 @@
 
 
 def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("build")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("cases", nargs="*")
-    args = parser.parse_intermixed_args()
-    os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [one_instance_is_cut_off, two_instances_are_cut_off, zone_is_cut_off,
              region_is_cut_off, connections_are_reset, new_connections_are_refused,
              half_of_the_servers_are_cut_off, writes_while_cut_off, links_flap,
@@ -556,9 +548,7 @@
              links_flap_under_writes, links_to_half_of_the_servers_flap,
              idle_instance_is_cut_off, idle_instance_is_cut_off_before_writes,
              instance_returns_after_flapping]
-    clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(
-        args.build, case, nr_entries=4, nr_servers=6, seed=args.seed)) for case in cases
-        if not args.cases or case.__name__ in args.cases])
+    clusterlib.run_chosen(cases, nr_entries=4, nr_servers=6)
 
 
 if __name__ == "__main__":
