--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1342,10 +1342,10 @@
 		.response_max_bytes = answer_max_bytes(request->gw),
 		.response_memory = &request->gw->response_memory,
 		.timeout_ms = left_ms,
-		.settle_ms = gw_now_ms(request->gw) <
-					     request->gw->settle_until_ms ?
-				     GW_SETTLE_MS :
-				     0,
+		.settle_ms =
+			gw_now_ms(request->gw) < request->gw->settle_until_ms ?
+				GW_SETTLE_MS :
+				0,
 		.may_send = on_established,
 		.matches_request = is_own_response,
 		.request_sent = on_body_sent,
