--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -13,8 +13,6 @@
  * exchanges the evidence that crashes.c evaluates with the leader.
  */
 
-/* The same as CONNECT_TIMEOUT_MS in gateway_backend.c. */
-#define PROBE_TIMEOUT_MS 700
 #define PROBES_MAX 64
 
 /* A server that shows whether this instance reaches servers. */
@@ -198,7 +196,7 @@
 	snprintf(other->address, sizeof(other->address), "%s",
 		 choice.server->address);
 	snprintf(other->zone, sizeof(other->zone), "%s", choice.server->zone);
-	if (loop_probe(at->gw->loop, other->address, PROBE_TIMEOUT_MS,
+	if (loop_probe(at->gw->loop, other->address, GW_CONNECT_TIMEOUT_MS,
 		       on_other_probed, other, &other->probe))
 		return -1;
 	at->nr_others++;
@@ -260,8 +258,8 @@
 	struct gw *gw = at->gw;
 
 	gw_count(gw, "server_probes", "");
-	if (loop_probe(gw->loop, at->address, PROBE_TIMEOUT_MS, on_probed, at,
-		       &at->probe))
+	if (loop_probe(gw->loop, at->address, GW_CONNECT_TIMEOUT_MS, on_probed,
+		       at, &at->probe))
 		exit_check_server_done(at->check, LOOP_PROBE_NO_ANSWER);
 }
 
