--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,13 @@
 sys.path.insert(0, str(HERE.parent / "lib"))
 import deployment as d  # noqa: E402
 
+# As in the site file tmwis-lagging, with its 12 edge machines spread evenly.
+d.REGIONS = {"gp-rosslyn": "gauteng", "wc-bellville": "westcape", "kzn-pinetown": "kzn",
+             "gp-germiston": "gauteng", "wc-paarl": "westcape", "kzn-umhlanga": "kzn"}
+d.BOUNDS.update(ackS=4, budgetExtra=64)
+EDGES = 2 * list(d.REGIONS)
+CORES = list(d.REGIONS)[:5]
+
 ROUTES = 4 * 350        # big_config, at its dose of a small deployment, four times
 CHANGES = 900 if d.TROUBLE else 12
 CHANGES_S = 85          # for all changes together
@@ -19,7 +26,7 @@
 
 
 def config(version):
-    services = ["span-ledger", "cut-registry"]
+    services = ["jobcard-desk", "order-book"]
     return {
         "version": version,
         "routes": [{"name": f"r-{i:04d}", "host": f"h{i % 40}.example",
@@ -111,7 +118,7 @@
 
 
 async def play(temporary, folder):
-    system = d.Deployment(temporary)
+    system = d.Deployment(temporary, EDGES, CORES)
     platform = Platform(system)
     watch = None
     try:
