--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,8 +18,9 @@
 CORES = list(d.REGIONS)[:5]
 
 ROUTES = 4 * 350        # big_config, at its dose of a small deployment, four times
-CHANGES = 900 if d.TROUBLE else 12
-CHANGES_S = 85          # for all changes together
+CHANGES = 500 if d.TROUBLE else 12
+GAP_S = 0.198           # config_storm, at the shortest gap of the site file
+CHANGES_S = 98          # for all changes together
 RESTART_S = 0.5         # a short delay
 ENDS = 3                # of one machine, as the rule counts them
 MEMORY_MB = 256         # of a core machine
@@ -95,9 +96,11 @@
 
 async def send_changes(system, platform):
     """Sends one complete configuration after the other, each when the one before is
-    acknowledged. Returns the last acknowledged version and the number of changes."""
+    acknowledged, but GAP_S after it at the earliest. Returns the last acknowledged version
+    and the number of changes."""
     version, nr, end = 1, 0, time.monotonic() + CHANGES_S
     while nr < CHANGES and time.monotonic() < end and not platform.is_broken():
+        next_at = time.monotonic() + GAP_S
         body = json.dumps(config(version + 1)).encode()
         acknowledged = False
         while not acknowledged and time.monotonic() < end and not platform.is_broken():
@@ -114,6 +117,7 @@
             if nr % 50 == 0:
                 system.note(f"operator: {nr} changes are acknowledged; the core processes use "
                             + ", ".join(f"{used_mb(c):.0f}" for c in system.controls) + " MB")
+        await asyncio.sleep(max(0, next_at - time.monotonic()))
     return version, nr
 
 
