gateway: Refuse requests that the end of a stop may cut off

Cause: the process exits a fixed time after SIGTERM, and requests got the time limit of their route without a comparison with that time. The same held for retries and for relays to other instances.

A request is now sent only if its deadline passes before the exit or, while callers still use the address, if twice the expected time does; others get 503 at once and have not run. Retries and relays use the same check. Leased entry instances wait for their requests without a limit and were not affected, control instances refuse changes when they stop.

Failed before: GatewayRequest.StoppingInstanceRefusesWhatItMayNotFinish (4 of 11 rows sent), Relay.StoppingInstancesAreAvoided, process_faults.py requests_late_in_stop (8 of 12 requests lost, all had run).

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -35,6 +35,10 @@
 #define STOP_LISTEN_MS 2600
 #define STOP_MARGIN_MS 400
 #define STOP_IDLE_MS 300
+/* Time to send the last responses before the process exits. */
+#define STOP_SEND_MS 100
+/* A request rarely takes longer than this many times what is expected. */
+#define STOP_EXPECTED_FACTOR 2
 
 uint64_t gw_now_ms(const struct gw *gw)
 {
@@ -114,10 +118,35 @@
 
 /* ---- periodic work and signals ---- */
 
+/*
+ * Returns the time from SIGTERM until the process exits, whatever is in
+ * progress; 0: it waits until nothing is.
+ */
+static uint32_t stop_max_ms(const struct gw *gw)
+{
+	uint32_t grace_ms = gw->settings->cluster.bounds.grace_ms;
+
+	return grace_ms > STOP_MARGIN_MS ? grace_ms - STOP_MARGIN_MS : 0;
+}
+
+bool gw_stop_allows(const struct gw *gw, uint64_t deadline_ms,
+		    uint32_t expected_ms)
+{
+	uint64_t now_ms = gw_now_ms(gw), last_answer_ms;
+
+	if (!gw->stop_requested_ms || !stop_max_ms(gw))
+		return true;
+	last_answer_ms = gw->stop_requested_ms + stop_max_ms(gw) - STOP_SEND_MS;
+	if (deadline_ms <= last_answer_ms)
+		return true;
+	return now_ms < gw->stop_requested_ms + STOP_LISTEN_MS &&
+	       now_ms + (uint64_t)STOP_EXPECTED_FACTOR * expected_ms <=
+		       last_answer_ms;
+}
+
 static void stop_tick(struct gw *gw)
 {
 	uint64_t elapsed_ms = gw_now_ms(gw) - gw->stop_requested_ms;
-	uint32_t grace_ms = gw->settings->cluster.bounds.grace_ms;
 
 	if (elapsed_ms < STOP_LISTEN_MS)
 		return;
@@ -127,8 +156,7 @@
 	    !loop_is_closing(gw->loop) &&
 	    elapsed_ms >= STOP_LISTEN_MS + STOP_IDLE_MS)
 		loop_stop(gw->loop);
-	if (grace_ms > STOP_MARGIN_MS &&
-	    elapsed_ms >= grace_ms - STOP_MARGIN_MS)
+	if (stop_max_ms(gw) && elapsed_ms >= stop_max_ms(gw))
 		loop_stop(gw->loop);
 }
 
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -195,6 +195,15 @@
 void gw_count(struct gw *gw, const char *name, const char *label);
 /* Logs the cause and stops the process with an error. */
 void gw_fail(struct gw *gw, const char *cause);
+/*
+ * Returns whether a request that takes until deadline_ms at the latest may be
+ * sent to a server. In a graceful stop the response has to be received before
+ * the process exits. While callers may still use the address, twice the
+ * expected time, in milliseconds, is enough; later the deadline must pass
+ * before the exit.
+ */
+bool gw_stop_allows(const struct gw *gw, uint64_t deadline_ms,
+		    uint32_t expected_ms);
 
 /* ---- gateway_link.c ---- */
 
--- a/almondward/gateway_relay.c
+++ b/almondward/gateway_relay.c
@@ -319,9 +319,10 @@
 {
 	uint64_t now_ms = gw_now_ms(relay->gw);
 
-	return now_ms + RELAY_TIME_MIN_MS < relay->deadline_ms ?
-		       (uint32_t)(relay->deadline_ms - now_ms) :
-		       0;
+	if (now_ms + RELAY_TIME_MIN_MS >= relay->deadline_ms ||
+	    !gw_stop_allows(relay->gw, relay->deadline_ms, 0))
+		return 0;
+	return (uint32_t)(relay->deadline_ms - now_ms);
 }
 
 bool gw_relay_possible(const struct gw_relay *relay)
@@ -433,7 +434,8 @@
 		return;
 	}
 	is_unable = !strcmp(error, refusal_name(REFUSAL_UNREACHABLE)) ||
-		    !strcmp(error, refusal_name(REFUSAL_NO_LEASE));
+		    !strcmp(error, refusal_name(REFUSAL_NO_LEASE)) ||
+		    !strcmp(error, refusal_name(REFUSAL_DRAINING));
 	if (is_unable)
 		avoid(relay);
 	if (may_try_again(relay, error, is_unable) && gw_relay_start(relay))
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -61,6 +61,8 @@
 /* Retry-After where no better time is known, as for lack of a plan or a server;
  * the minimum for refusals by rate. Callers are expected to wait this long. */
 #define RETRY_AFTER_MS 500
+/* Retry-After of a stopping instance: others can take the request at once. */
+#define STOP_RETRY_AFTER_MS 50
 /* Larger bodies are hashed for a fingerprint only when a request is suspected
  * of crashing servers: bodies that are sent again and again are small. */
 #define SMALL_BODY_BYTES 4096
@@ -183,6 +185,9 @@
 			      "Servers ended under requests like this one; it "
 			      "was not sent to another." },
 	[REFUSAL_MEMORY] = { "memory", "The instance is out of memory." },
+	[REFUSAL_DRAINING] = { "stop",
+			       "The instance is stopping and may exit before "
+			       "the request is finished." },
 };
 
 /* ---- completion of a request ---- */
@@ -819,10 +824,17 @@
 					 0;
 }
 
+static bool stop_allows(const struct gw_request *request)
+{
+	return gw_stop_allows(request->gw, request->deadline_ms,
+			      request->choice.expected_ms);
+}
+
 static bool has_time_to_retry(const struct gw_request *request)
 {
 	return gw_now_ms(request->gw) + RETRY_TIME_MIN_MS <
-	       request->deadline_ms;
+		       request->deadline_ms &&
+	       stop_allows(request);
 }
 
 /*
@@ -1565,6 +1577,18 @@
 	return true;
 }
 
+/*
+ * Refuses a request that the end of a graceful stop could cut off. Returns true
+ * when it was refused and freed.
+ */
+static bool refuse_stopping(struct gw_request *request)
+{
+	if (request->nr_maybe_run || stop_allows(request))
+		return false;
+	refuse(request, REFUSAL_DRAINING, STOP_RETRY_AFTER_MS);
+	return true;
+}
+
 /*
  * Relays a request for which a connection is being opened while none can be
  * made: the idle connections to the server have ended, or were idle for too
@@ -1625,6 +1649,8 @@
 	struct gw *gw = request->gw;
 	enum next_step step;
 
+	if (refuse_stopping(request))
+		return;
 	if (request->relay_only || reach_state(gw_reach(gw)) == REACH_CUT) {
 		relay_unreachable(request);
 		return;
@@ -1640,6 +1666,8 @@
 			refuse_by_verdict(request);
 			return;
 		}
+		if (refuse_stopping(request))
+			return;
 		if (needs_connection(request)) {
 			relay_unreachable(request);
 			return;
--- a/tests/gateway_request_test.cc
+++ b/tests/gateway_request_test.cc
@@ -68,17 +68,18 @@
 // An entry instance with one server.
 struct Gateway {
 	Net net;
-	struct clk *clk = clk_create_paused(clk_now_ms(net.clk) + AHEAD_MS);
+	struct clk *clk;
 	Server server{ net };
 	struct set_settings settings = {};
 	struct gw gw = {};
 	int readings = 0, lost_at = 0; // reading before which time is lost
 
-	Gateway()
+	explicit Gateway(uint64_t ahead_ms = AHEAD_MS)
 	{
 		struct set_cluster *cluster = &settings.cluster;
 		struct http_server_settings callers = {};
 
+		clk = clk_create_paused(clk_now_ms(net.clk) + ahead_ms);
 		snprintf(settings.name, sizeof(settings.name), "entry-0");
 		snprintf(settings.zone, sizeof(settings.zone), "a1");
 		snprintf(cluster->region, sizeof(cluster->region), "ra");
@@ -90,6 +91,7 @@
 		gw.adapter = platform_adapter();
 		gw.clk = clk;
 		gw.loop = net.loop;
+		gw.response_memory.max_bytes = 1 << 20;
 		gw.counters = ctr_set_create();
 		gw.plan = plan_create();
 		gw.topo = topo_create(clk);
@@ -199,16 +201,16 @@
 
 	// Sends a request. The processor is taken away before the given reading
 	// of the clock. Returns the response.
-	std::string request(int at_reading)
+	std::string request(int at_reading, uint32_t deadline_ms = 4000)
 	{
 		RawConn caller(net, http_server_address(gw.callers));
 
 		readings = 0;
 		lost_at = at_reading;
 		clk_on_read(clk, on_read, this);
-		caller.send(
-			"GET /read/1 HTTP/1.1\r\nHost: t.example\r\n"
-			"X-Request-Id: id-1\r\nX-Deadline-Ms: 4000\r\n\r\n");
+		caller.send("GET /read/1 HTTP/1.1\r\nHost: t.example\r\n"
+			    "X-Request-Id: id-1\r\nX-Deadline-Ms: " +
+			    std::to_string(deadline_ms) + "\r\n\r\n");
 		EXPECT_TRUE(net.until([&] {
 			return caller.received.find("\r\n\r\n") !=
 			       std::string::npos;
@@ -255,4 +257,56 @@
 	EXPECT_GE(sent, 1);
 }
 
+// A stopping instance passed on requests that it had no time left for; they ran,
+// and the end of the process cut them off without an answer. Those that may
+// take too long are refused before they are sent to a server.
+TEST(GatewayRequest, StoppingInstanceRefusesWhatItMayNotFinish)
+{
+	const uint32_t GRACE_MS = 6000;
+	const struct {
+		uint64_t stopping_ms; // 0: the instance does not stop
+		uint32_t deadline_ms, grace_ms;
+		bool is_sent;
+	} rows[] = {
+		{ 0, 4000, GRACE_MS, true },
+		{ 1, 4000, GRACE_MS, true },
+		{ 2500, 4000, GRACE_MS, true },
+		// The route's timeout passes before the exit.
+		{ 2900, 4000, GRACE_MS, true },
+		{ 3150, 4000, GRACE_MS, false },
+		{ 3150, 2000, GRACE_MS, true },
+		{ 3600, 2000, GRACE_MS, false },
+		{ 5400, 4000, GRACE_MS, false },
+		{ 3150, 4000, 2 * GRACE_MS, true },
+		// Callers still use the address: the expected time counts.
+		{ 500, 4000, GRACE_MS / 2, true },
+		{ 2500, 4000, GRACE_MS / 2, false },
+	};
+
+	for (const auto &row : rows) {
+		Gateway gateway(0);
+
+		gateway.settings.cluster.bounds.grace_ms = row.grace_ms;
+		if (row.stopping_ms)
+			gateway.gw.stop_requested_ms =
+				gw_now_ms(&gateway.gw) - row.stopping_ms;
+		std::string response = gateway.request(0, row.deadline_ms);
+
+		EXPECT_EQ(row.is_sent ? 1u : 0u,
+			  gateway.server.deadlines.size())
+			<< row.stopping_ms << " ms after the stop began";
+		EXPECT_NE(std::string::npos,
+			  response.find(row.is_sent ? " 200 " : " 503 "))
+			<< response;
+		if (!row.is_sent) {
+			EXPECT_NE(std::string::npos,
+				  response.find("\"draining\""))
+				<< response;
+			EXPECT_NE(std::string::npos,
+				  response.find("Retry-After: 0.050"))
+				<< response;
+		}
+	}
+}
+
 } // namespace
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -148,6 +148,49 @@
     assert not failed, (len(failed), failed[:5])
 
 
+async def requests_late_in_stop(cluster):
+    """Requests that come 2.7 to 4.5 s after SIGTERM over connections that are open, and
+    that take 2.6 s: an instance passed them on, and its exit cut them off without an
+    answer. Now they are refused, and were not run."""
+    address = address_of(cluster.address("entry-0", "callers"))
+    for server in cluster.servers.values():
+        server.work_s = 2.6
+    started = time.monotonic()
+    cluster.signal("entry-0", signal.SIGTERM)
+
+    async def caller(number, sent_s):
+        # Idle connections are closed a second after they were opened.
+        await asyncio.sleep(min(sent_s - 0.8, 2.4))
+        reader, writer = await asyncio.open_connection(*address)
+        body, split = b"x", sent_s > 3.2
+        request_id = f"{number:016x}"
+        head = (f"POST /write/{number} HTTP/1.1\r\nHost: t.example\r\nX-Key: key-kim\r\n"
+                f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: 6000\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode()
+        try:
+            if split:  # the head keeps the connection open
+                await asyncio.sleep(started + 3.1 - time.monotonic())
+                writer.write(head)
+                head = b""
+            await asyncio.sleep(started + sent_s - time.monotonic())
+            writer.write(head + body)
+            first, _, text = await asyncio.wait_for(clusterlib.read_message(reader), 6)
+            status = int(first.split()[1])
+            cluster.check_response(request_id, f"/write/{number}", "POST", body,
+                                   clusterlib.Answer(status, {}, text))
+            return status
+        except (OSError, asyncio.IncompleteReadError) as error:
+            return f"{request_id} lost, runs {cluster.runs.get(request_id)}: {error!r}"
+        finally:
+            writer.close()
+
+    times = [2.7, 2.8, 2.9, 3.0, 3.05, 3.1, 3.15, 3.2, 3.4, 3.8, 4.2, 4.5]
+    statuses = await asyncio.gather(*(caller(i, t) for i, t in enumerate(times)))
+    assert all(status in (200, 503) for status in statuses), statuses
+    assert statuses[-4:] == [503] * 4, statuses
+    assert cluster.processes["entry-0"].wait(timeout=8) == 0
+
+
 async def departures_and_withdrawals_survive_restart(cluster):
     """A server's departure and the withdrawal of a key survive a restart of all
     processes, although the server still announces itself as ready."""
@@ -335,7 +378,7 @@
     build = sys.argv[1]
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [duplicate_responses, earlier_refusals_repeated, statuses_that_promise,
-             refusals_of_requests_without_id, stop_under_load,
+             refusals_of_requests_without_id, stop_under_load, requests_late_in_stop,
              departures_and_withdrawals_survive_restart,
              malformed_messages, late_heartbeats_and_suspended_instance, lost_responses,
              responses_cut_anywhere, endless_responses, notices_of_departure_and_backoff]
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -448,6 +448,22 @@
 	EXPECT_EQ(2u, able->nr_requests);
 }
 
+// They would refuse further requests until they exit.
+TEST_F(Relay, StoppingInstancesAreAvoided)
+{
+	for (const char *name : { "n1", "n2", "n3" })
+		add(name, "a1")->refuse(503, "draining");
+	auto able = add("far", "b1");
+
+	sync();
+	run();
+	EXPECT_EQ(200u, status);
+	EXPECT_EQ(4u, nr_requests());
+	run();
+	EXPECT_EQ(5u, nr_requests());
+	EXPECT_EQ(2u, able->nr_requests);
+}
+
 // Nothing was sent, so even a request that is not idempotent is sent again.
 TEST_F(Relay, FailedConnectionsAreReplaced)
 {
