raft, store: Limit the log by its bytes too

The log is read in parts of 1 MiB, and only the part that is kept is copied. The stored form is unchanged.

--- a/almondward/control.c
+++ b/almondward/control.c
@@ -11,6 +11,10 @@
 
 #define TICK_MS 10
 #define SNAPSHOT_ENTRIES 20000 /* log entries between snapshots */
+/* A complete configuration of 1,400 routes takes about 0.5 MB. The largest log
+ * is four times this, see raft_snapshot.c, a quarter of the 256 MB of a small
+ * control machine. */
+#define SNAPSHOT_LOG_BYTES ((uint64_t)16 << 20)
 #define STOP_PROPOSALS_MS 1000 /* from the stop request, for proposals */
 #define STOP_HANDOVER_MS 3000 /* from the stop request, for the handover */
 #define STOP_SEND_MS 100 /* then, for sending queued messages */
@@ -502,6 +506,7 @@
 	raft.store = ctl->store;
 	randombytes_buf(&raft.seed, sizeof(raft.seed));
 	raft.snapshot_entries = SNAPSHOT_ENTRIES;
+	raft.snapshot_log_bytes = SNAPSHOT_LOG_BYTES;
 	if (ctl->cluster)
 		raft.silent_voter_removal_ms = CLUSTER_REMOVE_SILENT_VOTER_MS;
 	ctl->raft = raft_create(&raft, &ctl_raft_ops, ctl);
--- a/almondward/raft.c
+++ b/almondward/raft.c
@@ -172,6 +172,7 @@
 	raft->ops = *ops;
 	raft->arg = arg;
 	raft->snapshot_entries = settings->snapshot_entries;
+	raft->snapshot_log_bytes = settings->snapshot_log_bytes;
 	raft->silent_voter_removal_ms = settings->silent_voter_removal_ms;
 	for (size_t i = 0; i < 3; i++)
 		raft->random_state[i] =
--- a/almondward/raft.h
+++ b/almondward/raft.h
@@ -87,6 +87,12 @@
 	struct store *store; /* opened, not owned */
 	uint64_t seed; /* for the election timeout */
 	uint32_t snapshot_entries; /* entries between two snapshots */
+	/*
+	 * A snapshot is also taken when the applied entries in the log take
+	 * this many bytes, and as many as the last snapshot: all of them are
+	 * kept in memory. 0: no limit.
+	 */
+	uint64_t snapshot_log_bytes;
 	/*
 	 * Time without an acknowledgement after which the leader removes a
 	 * voter. Applies only while the number of voters is even, as it is
--- a/almondward/raft_snapshot.c
+++ b/almondward/raft_snapshot.c
@@ -16,20 +16,36 @@
 }
 
 /*
- * A peer that is receiving a snapshot needs the entries that follow it, so the
- * leader delays its next snapshot, at most until four times the usual number of
- * entries has been applied.
+ * Returns whether the applied entries that follow the last snapshot exceed the
+ * limit of their number or of their bytes by this factor.
  */
-static bool snapshot_is_due(const struct raft *raft)
+static bool log_is_long(const struct raft *raft, uint32_t factor)
 {
 	const Aw__Snapshot *last = store_snapshot(raft->store);
 	uint64_t nr = raft->applied_index - (last ? last->last_index : 0);
+	uint64_t bytes = store_bytes_through(raft->store, raft->applied_index);
+
+	if (!nr)
+		return false;
+	if (nr / factor >= raft->snapshot_entries)
+		return true;
+	return raft->snapshot_log_bytes &&
+	       bytes / factor >= raft->snapshot_log_bytes &&
+	       (!last || bytes / factor >= last->state.len);
+}
 
-	if (!nr || nr < raft->snapshot_entries ||
-	    raft_now_ms(raft) < raft->snapshot_retry_ms)
+/*
+ * A peer that is receiving a snapshot needs the entries that follow it, so the
+ * leader delays its next snapshot, at most until the log is four times as long
+ * as usual.
+ */
+static bool snapshot_is_due(const struct raft *raft)
+{
+	if (raft_now_ms(raft) < raft->snapshot_retry_ms ||
+	    !log_is_long(raft, 1))
 		return false;
 	return raft->role != RAFT_LEADER || !is_sending_snapshot(raft) ||
-	       nr / 4 >= raft->snapshot_entries;
+	       log_is_long(raft, 4);
 }
 
 enum raft_error raft_take_snapshot(struct raft *raft)
--- a/almondward/raft_state.h
+++ b/almondward/raft_state.h
@@ -68,6 +68,7 @@
 	void *arg;
 	unsigned short random_state[3];
 	uint32_t snapshot_entries;
+	uint64_t snapshot_log_bytes;
 	uint32_t silent_voter_removal_ms;
 
 	bool failed; /* permanently, see RAFT_ERR_FAILED */
--- a/almondward/store.c
+++ b/almondward/store.c
@@ -198,6 +198,18 @@
 	return store->first_index + store->nr_records - 1;
 }
 
+uint64_t store_bytes_through(const struct store *store, uint64_t index)
+{
+	uint64_t end_bytes = store->log_bytes;
+
+	if (!store->nr_records || index < store->first_index)
+		return 0;
+	if (index < store_last_index(store))
+		end_bytes = store->records[index + 1 - store->first_index]
+				    .offset_bytes;
+	return end_bytes - store->records[0].offset_bytes;
+}
+
 const Aw__LogEntry *store_entry(const struct store *store, uint64_t index)
 {
 	if (index < store->first_index || index > store_last_index(store))
@@ -321,11 +333,11 @@
 	int old_fd = store->log_fd;
 
 	if (store_path(store, STORE_LOG_NAME, path) ||
-	    store_read_file(path, &data) || data.len_bytes < store->log_bytes) {
+	    store_read_file(path, start_bytes, &data) ||
+	    data.len_bytes < kept_bytes) {
 		buf_release(&data);
 		return store_fail(store, "read of the log");
 	}
-	buf_consume(&data, start_bytes);
 	data.len_bytes = kept_bytes;
 	error = replace_file(store, STORE_LOG_NAME, &data);
 	buf_release(&data);
--- a/almondward/store.h
+++ b/almondward/store.h
@@ -96,6 +96,12 @@
 uint64_t store_first_index(const struct store *store);
 uint64_t store_last_index(const struct store *store);
 
+/*
+ * Returns the number of bytes that the entries from the first index through
+ * this one take in the log, 0 if there are none.
+ */
+uint64_t store_bytes_through(const struct store *store, uint64_t index);
+
 /*
  * Returns NULL outside of first to last index. The entry is valid until it is
  * removed by store_truncate_from() or a snapshot.
--- a/almondward/store_file.c
+++ b/almondward/store_file.c
@@ -66,6 +66,14 @@
 	return 0;
 }
 
+uint32_t store_record_payload_bytes(const uint8_t *header)
+{
+	uint32_t len_le;
+
+	memcpy(&len_le, header, sizeof(len_le));
+	return le32toh(len_le);
+}
+
 size_t store_record_check(const uint8_t *data, size_t len_bytes)
 {
 	uint32_t header[2];
@@ -104,7 +112,7 @@
 	return STORE_OK;
 }
 
-int store_read_file(const char *path, struct buf *out)
+int store_read_file(const char *path, uint64_t offset_bytes, struct buf *out)
 {
 	int fd = open(path, O_RDONLY | O_CLOEXEC);
 	struct stat st;
@@ -112,11 +120,12 @@
 
 	if (fd < 0)
 		return errno;
-	if (fstat(fd, &st)) {
+	if (fstat(fd, &st) || lseek(fd, (off_t)offset_bytes, SEEK_SET) < 0) {
 		error = errno;
 		goto out;
 	}
-	if (buf_reserve(out, (size_t)st.st_size + 1)) {
+	if ((uint64_t)st.st_size > offset_bytes &&
+	    buf_reserve(out, (size_t)st.st_size - offset_bytes + 1)) {
 		error = ENOMEM;
 		goto out;
 	}
--- a/almondward/store_file.h
+++ b/almondward/store_file.h
@@ -26,6 +26,12 @@
 int store_record_append(struct buf *out, const uint8_t *payload,
 			size_t payload_bytes);
 
+/*
+ * Returns the payload length that a record header of STORE_RECORD_HEADER_BYTES
+ * names. It cannot be trusted before store_record_check().
+ */
+uint32_t store_record_payload_bytes(const uint8_t *header);
+
 /*
  * Returns the payload length of the record at the start of data, or 0 if there
  * is no complete and valid record. A record never has an empty payload.
@@ -39,9 +45,10 @@
 				 const uint8_t *data, size_t len_bytes);
 
 /*
- * Appends the contents of a file to out. Returns 0 or an errno value.
+ * Appends the contents of a file from an offset on to out. Returns 0 or an errno
+ * value.
  */
-int store_read_file(const char *path, struct buf *out);
+int store_read_file(const char *path, uint64_t offset_bytes, struct buf *out);
 
 /*
  * Atomically replaces the contents of dir/name: writes a temporary file, syncs
--- a/almondward/store_open.c
+++ b/almondward/store_open.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <sodium.h>
@@ -11,6 +12,9 @@
 #include "log.h"
 #include "store_state.h"
 
+/* The log is read in parts of this size, as it may take half of the memory. */
+#define READ_BYTES ((size_t)1 << 20)
+
 struct error_text {
 	char *text;
 	size_t bytes;
@@ -74,7 +78,7 @@
 		return error_from_errno(out, STORE_ERR_FAILED, store->dir,
 					name);
 	}
-	error = store_read_file(path, data);
+	error = store_read_file(path, 0, data);
 	if (error == ENOENT)
 		return STORE_OK;
 	if (error) {
@@ -125,6 +129,74 @@
 	return error;
 }
 
+/* Reads a file from its start on. */
+struct reader {
+	int fd;
+	struct buf data; /* bytes that were read, some of them consumed */
+	size_t consumed_bytes; /* at the front of data */
+	uint64_t offset_bytes; /* in the file, of the first byte not consumed */
+};
+
+static const uint8_t *reader_data(const struct reader *reader)
+{
+	return reader->data.data + reader->consumed_bytes;
+}
+
+static size_t reader_bytes(const struct reader *reader)
+{
+	return reader->data.len_bytes - reader->consumed_bytes;
+}
+
+/*
+ * Reads until len_bytes are available or the file ends. Returns 0 or an errno
+ * value.
+ */
+static int reader_fill(struct reader *reader, size_t len_bytes)
+{
+	while (reader_bytes(reader) < len_bytes) {
+		struct buf *data = &reader->data;
+		ssize_t nr;
+
+		buf_consume(data, reader->consumed_bytes);
+		reader->consumed_bytes = 0;
+		if (buf_reserve(data, READ_BYTES))
+			return ENOMEM;
+		nr = pread(reader->fd, data->data + data->len_bytes, READ_BYTES,
+			   (off_t)(reader->offset_bytes + data->len_bytes));
+		if (nr < 0 && errno == EINTR)
+			continue;
+		if (nr < 0)
+			return errno;
+		if (!nr)
+			break;
+		data->len_bytes += (size_t)nr;
+	}
+	return 0;
+}
+
+/*
+ * Makes the record at the reader's position available as far as the file has
+ * it. Returns 0 or an errno value.
+ */
+static int reader_fill_record(struct reader *reader)
+{
+	uint32_t payload_bytes;
+	int error = reader_fill(reader, STORE_RECORD_HEADER_BYTES);
+
+	if (error || reader_bytes(reader) < STORE_RECORD_HEADER_BYTES)
+		return error;
+	payload_bytes = store_record_payload_bytes(reader_data(reader));
+	if (payload_bytes > STORE_LOG_RECORD_BYTES_MAX)
+		payload_bytes = 0;
+	return reader_fill(reader, STORE_RECORD_HEADER_BYTES + payload_bytes);
+}
+
+static void reader_consume(struct reader *reader, size_t len_bytes)
+{
+	reader->consumed_bytes += len_bytes;
+	reader->offset_bytes += len_bytes;
+}
+
 static uint64_t random_id(void)
 {
 	uint64_t id;
@@ -136,20 +208,19 @@
 }
 
 /*
- * Returns the offset of a valid log record after the damaged one at
- * offset_bytes, or 0. Tries every offset, since the length in the damaged
- * record cannot be trusted.
+ * Returns whether there is a valid log record after the damaged one at the start
+ * of data. Tries every offset, since the length in the damaged record cannot be
+ * trusted.
  */
-static size_t next_valid_record(const struct buf *data, size_t offset_bytes,
-				uint64_t last_index)
+static bool has_valid_record(const uint8_t *data, size_t len_bytes,
+			     uint64_t last_index)
 {
 	const uint8_t tag_of_index = 0x08; /* first byte of a packed LogEntry */
 
-	for (size_t at = offset_bytes + 1;
-	     at + STORE_RECORD_HEADER_BYTES < data->len_bytes; at++) {
-		const uint8_t *record = data->data + at;
+	for (size_t at = 1; at + STORE_RECORD_HEADER_BYTES < len_bytes; at++) {
+		const uint8_t *record = data + at;
 		Aw__LogEntry *entry;
-		size_t left_bytes = data->len_bytes - at;
+		size_t left_bytes = len_bytes - at;
 		size_t payload_bytes;
 		bool valid;
 
@@ -167,9 +238,9 @@
 		if (entry)
 			aw__log_entry__free_unpacked(entry, NULL);
 		if (valid)
-			return at;
+			return true;
 	}
-	return 0;
+	return false;
 }
 
 static const char *check_log_entry(const Aw__LogEntry *entry,
@@ -184,82 +255,94 @@
 	return NULL;
 }
 
+static enum store_error read_error(const struct store *store, int error,
+				   const struct error_text *out)
+{
+	errno = error;
+	return error_from_errno(
+		out, error == ENOMEM ? STORE_ERR_MEMORY : STORE_ERR_FAILED,
+		store->dir, STORE_LOG_NAME);
+}
+
 /*
- * Reads the records of the log. Damaged bytes at its end are left out, with a
- * warning; a damaged record before a valid one is an error.
+ * Handles damaged bytes at the reader's position: at the end of the log they
+ * are left out, with a warning; before a valid record they are an error.
  */
-static enum store_error parse_log(struct store *store, const struct buf *data,
+static enum store_error check_damage(const struct store *store,
+				     struct reader *reader, uint64_t last_index,
+				     const struct error_text *out)
+{
+	int error = reader_fill(reader, SIZE_MAX);
+
+	if (error)
+		return read_error(store, error, out);
+	if (has_valid_record(reader_data(reader), reader_bytes(reader),
+			     last_index))
+		return error_at_offset(out, STORE_ERR_CORRUPT, store->dir,
+				       STORE_LOG_NAME, reader->offset_bytes,
+				       "damaged record before a valid one");
+	log_warn("store", "%s/%s: removing %zu damaged bytes at offset %llu",
+		 store->dir, STORE_LOG_NAME, reader_bytes(reader),
+		 (unsigned long long)reader->offset_bytes);
+	return STORE_OK;
+}
+
+/*
+ * Reads the records of the log up to its end or the first damaged one.
+ */
+static enum store_error parse_log(struct store *store, struct reader *reader,
 				  const struct error_text *out)
 {
 	uint64_t last_index = 0, last_term = 0;
-	size_t at = 0;
 
-	while (at < data->len_bytes) {
-		size_t left_bytes = data->len_bytes - at;
-		size_t payload_bytes =
-			store_record_check(data->data + at, left_bytes);
+	for (;;) {
+		int fill_error = reader_fill_record(reader);
 		Aw__LogEntry *entry;
+		size_t payload_bytes;
 		const char *cause;
 
-		if (!payload_bytes) {
-			if (next_valid_record(data, at, last_index))
-				return error_at_offset(
-					out, STORE_ERR_CORRUPT, store->dir,
-					STORE_LOG_NAME, at,
-					"damaged record before a valid "
-					"one");
-			log_warn("store",
-				 "%s/%s: removing %zu damaged bytes at offset "
-				 "%zu",
-				 store->dir, STORE_LOG_NAME, left_bytes, at);
-			break;
-		}
+		if (fill_error)
+			return read_error(store, fill_error, out);
+		store->log_bytes = reader->offset_bytes;
+		if (!reader_bytes(reader))
+			return STORE_OK;
+		payload_bytes = store_record_check(reader_data(reader),
+						   reader_bytes(reader));
+		if (!payload_bytes)
+			return check_damage(store, reader, last_index, out);
 		if (store_reserve_records(store, 1))
-			return error_at_offset(out, STORE_ERR_MEMORY,
-					       store->dir, STORE_LOG_NAME, at,
-					       "out of memory");
+			return read_error(store, ENOMEM, out);
 		entry = aw__log_entry__unpack(
 			NULL, payload_bytes,
-			data->data + at + STORE_RECORD_HEADER_BYTES);
+			reader_data(reader) + STORE_RECORD_HEADER_BYTES);
 		cause = check_log_entry(entry, last_index, last_term);
 		if (cause) {
 			if (entry)
 				aw__log_entry__free_unpacked(entry, NULL);
 			return error_at_offset(out, STORE_ERR_CORRUPT,
-					       store->dir, STORE_LOG_NAME, at,
-					       cause);
+					       store->dir, STORE_LOG_NAME,
+					       reader->offset_bytes, cause);
 		}
 		last_index = entry->index;
 		last_term = entry->term;
 		store->records[store->nr_records].entry = entry;
-		store->records[store->nr_records++].offset_bytes = at;
-		at += STORE_RECORD_HEADER_BYTES + payload_bytes;
+		store->records[store->nr_records++].offset_bytes =
+			reader->offset_bytes;
+		reader_consume(reader,
+			       STORE_RECORD_HEADER_BYTES + payload_bytes);
 	}
-	store->log_bytes = at;
-	return STORE_OK;
 }
 
 static enum store_error load_log(struct store *store,
 				 const struct error_text *out)
 {
-	struct buf data = BUF_INIT;
-	char path[PATH_MAX];
-	enum store_error error = STORE_ERR_FAILED;
+	struct reader reader = { .fd = store->log_fd, .data = BUF_INIT };
 	uint64_t snapshot_index = 0;
-	int read_error;
+	enum store_error error = parse_log(store, &reader, out);
 
-	if (store_path(store, STORE_LOG_NAME, path))
-		goto out;
-	read_error = store_read_file(path, &data);
-	if (read_error) {
-		errno = read_error;
-		error = error_from_errno(out, STORE_ERR_FAILED, store->dir,
-					 STORE_LOG_NAME);
-		goto out;
-	}
-	error = parse_log(store, &data, out);
+	buf_release(&reader.data);
 	if (error)
-		goto out;
+		return error;
 	if (store->snapshot) {
 		snapshot_index = store->snapshot->last_index;
 		store_drop_front(store,
@@ -267,12 +350,10 @@
 	}
 	store->first_index = snapshot_index + 1;
 	if (store->nr_records &&
-	    store->records[0].entry->index != store->first_index) {
-		error = error_at_offset(
+	    store->records[0].entry->index != store->first_index)
+		return error_at_offset(
 			out, STORE_ERR_CORRUPT, store->dir, STORE_LOG_NAME, 0,
 			"entries are missing before the first one");
-		goto out;
-	}
 	/*
 	 * Also syncs records that an earlier process wrote but did not sync,
 	 * since they are part of the log from now on. If the snapshot covers
@@ -285,8 +366,6 @@
 		error_at_offset(out, error, store->dir, STORE_LOG_NAME,
 				store->log_bytes,
 				"cannot be truncated and synced");
-out:
-	buf_release(&data);
 	return error;
 }
 
@@ -387,15 +466,10 @@
 			   bool *exists)
 {
 	char path[PATH_MAX];
-	struct buf data = BUF_INIT;
-	uint64_t len_bytes;
+	struct stat st;
 
-	*exists = !store_path(store, name, path) && !access(path, F_OK);
-	if (*exists)
-		store_read_file(path, &data);
-	len_bytes = data.len_bytes;
-	buf_release(&data);
-	return len_bytes;
+	*exists = !store_path(store, name, path) && !stat(path, &st);
+	return *exists ? (uint64_t)st.st_size : 0;
 }
 
 /*
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -62,6 +62,8 @@
 	// Each packet takes up to delay_ms, and 2% up to delay_tail_ms more.
 	uint64_t delay_ms = 5, delay_tail_ms = 0;
 	const uint32_t snapshot_entries;
+	// Applies to instances that are started afterwards; 0: no limit.
+	uint64_t snapshot_log_bytes = 0;
 	// Applies to instances that are started afterwards.
 	uint32_t silent_voter_removal_ms = 0;
 	size_t state_bytes = 16; // padding of a snapshot's state
@@ -272,6 +274,7 @@
 		settings.store = node.store;
 		settings.seed = rng();
 		settings.snapshot_entries = snapshot_entries;
+		settings.snapshot_log_bytes = snapshot_log_bytes;
 		settings.silent_voter_removal_ms = silent_voter_removal_ms;
 		node.applied = 0;
 		node.reported_leader = false;
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -329,6 +329,54 @@
 	EXPECT_EQ("", cluster.error);
 }
 
+// Few large entries exhausted the memory before their number was due for a
+// snapshot, and again at each restart, since the whole log is loaded.
+TEST_F(Raft, LargeEntriesAreReplacedBySnapshots)
+{
+	const size_t OP_BYTES = 400000;
+	const uint64_t LOG_BYTES = 10 * OP_BYTES;
+	Cluster cluster(1, 3, 20000);
+
+	cluster.snapshot_log_bytes = LOG_BYTES;
+	for (Node &node : cluster.nodes) {
+		cluster.stop(node);
+		cluster.start(node);
+	}
+	ASSERT_TRUE(cluster.run_until_converged(20000));
+	for (int i = 0; i < 60; i++) {
+		EXPECT_TRUE(cluster.propose(OP_BYTES));
+		cluster.run(50);
+		for (const Node &node : cluster.nodes)
+			ASSERT_LE(store_bytes_through(
+					  node.store,
+					  store_last_index(node.store)),
+				  LOG_BYTES + 2 * OP_BYTES)
+				<< node.name << " after " << i << " entries";
+	}
+	for (Node &node : cluster.nodes) {
+		cluster.stop(node);
+		cluster.start(node);
+		EXPECT_LE(store_last_index(node.store) + 1 -
+				  store_first_index(node.store),
+			  12u);
+	}
+	EXPECT_TRUE(cluster.run_until_converged(20000)) << cluster.describe();
+	// A snapshot that is larger than the log is not taken again and again.
+	cluster.state_bytes = 4 * LOG_BYTES;
+	for (int i = 0; i < 11; i++) {
+		EXPECT_TRUE(cluster.propose(OP_BYTES));
+		cluster.run(50);
+	}
+	uint64_t first = store_first_index(cluster.leader()->store);
+
+	for (int i = 0; i < 30; i++) {
+		EXPECT_TRUE(cluster.propose(OP_BYTES));
+		cluster.run(50);
+	}
+	EXPECT_EQ(first, store_first_index(cluster.leader()->store));
+	EXPECT_EQ("", cluster.error);
+}
+
 // A leader with a full disk refuses operations but stays leader, and accepts
 // operations again when there is space.
 TEST_F(Raft, FullDiskRefusesOperations)
--- a/tests/store_test.cc
+++ b/tests/store_test.cc
@@ -246,6 +246,64 @@
 	expect_entries(11, 10);
 }
 
+// The log is read in parts of 1 MiB: records before, at and behind their ends.
+TEST_F(Store, ReadsALogOfManyParts)
+{
+	const size_t OP_BYTES[] = { 100, 1 << 20, 1, 700000, 4000, 900000 };
+	std::string op(1 << 20, 'x'), log;
+	uint64_t nr = 0, bytes_through_12 = 0;
+	size_t last_bytes = 0;
+
+	ASSERT_EQ(STORE_OK, open()) << text;
+	for (int round = 0; round < 4; round++)
+		for (size_t op_bytes : OP_BYTES) {
+			Aw__LogEntry entry = AW__LOG_ENTRY__INIT;
+			const Aw__LogEntry *entries[] = { &entry };
+
+			entry.index = ++nr;
+			entry.term = 1;
+			entry.op.data = (uint8_t *)op.data();
+			entry.op.len = op_bytes;
+			ASSERT_EQ(STORE_OK, store_append(store, entries, 1));
+			if (nr == 12)
+				bytes_through_12 =
+					store_bytes_through(store, nr);
+		}
+	ASSERT_EQ(STORE_OK, store_sync(store));
+	log = read_file(disk.dir + "/log");
+	EXPECT_EQ(log.size(), store_bytes_through(store, nr));
+	EXPECT_EQ(log.size(), store_bytes_through(store, nr + 1));
+	EXPECT_EQ(log.size(), 2 * bytes_through_12);
+	EXPECT_EQ(bytes_through_12, store_bytes_through(store, 12));
+	EXPECT_EQ(0u, store_bytes_through(store, 0));
+	ASSERT_EQ(STORE_OK, open()) << text;
+	ASSERT_EQ(nr, store_last_index(store));
+	for (uint64_t i = 1; i <= nr; i++) {
+		const Aw__LogEntry *entry = store_entry(store, i);
+
+		ASSERT_EQ(OP_BYTES[(i - 1) % 6], entry->op.len);
+		EXPECT_EQ(0, memcmp(op.data(), entry->op.data, entry->op.len));
+	}
+	EXPECT_EQ(bytes_through_12, store_bytes_through(store, 12));
+	// A snapshot keeps the entries behind it, which are read from the file.
+	ASSERT_EQ(STORE_OK, save_snapshot(store, 12, 1));
+	EXPECT_EQ(bytes_through_12, store_bytes_through(store, nr));
+	EXPECT_EQ(log.substr(bytes_through_12), read_file(disk.dir + "/log"));
+	ASSERT_EQ(STORE_OK, open()) << text;
+	EXPECT_EQ(13u, store_first_index(store));
+	EXPECT_EQ(nr, store_last_index(store));
+	// The last record is incomplete, then one before it is damaged.
+	log = read_file(disk.dir + "/log");
+	last_bytes = log.size() - store_bytes_through(store, nr - 1);
+	write_file(disk.dir + "/log", log.substr(0, log.size() - 1));
+	ASSERT_EQ(STORE_OK, open()) << text;
+	EXPECT_EQ(nr - 1, store_last_index(store));
+	EXPECT_EQ(log.size() - last_bytes, read_file(disk.dir + "/log").size());
+	log[log.size() - last_bytes - 1] ^= 0x55;
+	write_file(disk.dir + "/log", log);
+	EXPECT_EQ(STORE_ERR_CORRUPT, open());
+}
+
 // On a full disk an append fails and earlier entries stay. The incomplete
 // record is truncated, and the truncation is synced: otherwise a crash could
 // bring the record back.
