control_feed: Limit the changes that are sent at once by their bytes

Cause: the leader keeps the last 64 changes, whatever their size, and sends those that an instance lacks in one frame of at most 8 MiB. If they were larger, sending failed at each tick.

It now keeps at most 2 MiB of changes, and an instance that lacks more gets the whole plan.

--- a/almondward/control_cluster.h
+++ b/almondward/control_cluster.h
@@ -17,12 +17,15 @@
 #define CLUSTER_REMOVE_SILENT_VOTER_MS 1000
 /*
  * Recent plan changes that are kept to update subscribers; a subscriber that
- * lacks an older one is sent the whole plan.
+ * lacks an older one is sent the whole plan. Those that one lacks are sent in a
+ * single frame, of at most FRAME_BODY_BYTES_MAX.
  */
 #define CLUSTER_CHANGES_MAX 64
+#define CLUSTER_CHANGES_BYTES_MAX ((size_t)2 << 20)
 
 struct cluster_change {
 	Aw__PlanChange *change; /* without sources; NULL: unused */
+	size_t packed_bytes; /* of the change */
 	uint64_t base_index; /* log index of the plan before the change */
 };
 
@@ -59,6 +62,7 @@
 	uint64_t next_call;
 	struct cluster_change changes[CLUSTER_CHANGES_MAX];
 	size_t next_change; /* ring index of the oldest change */
+	size_t changes_bytes; /* packed size of all of them */
 	uint64_t plan_index; /* log index of the last applied plan change */
 	Aw__Plan *stripped; /* copy of the plan without sources */
 	/*
--- a/almondward/control_feed.c
+++ b/almondward/control_feed.c
@@ -77,18 +77,46 @@
 	return plan;
 }
 
+static void drop_change(struct ctl_cluster *cluster,
+			struct cluster_change *slot)
+{
+	if (!slot->change)
+		return;
+	cluster->changes_bytes -= slot->packed_bytes;
+	message_free(slot->change);
+	slot->change = NULL;
+}
+
+/*
+ * Drops the oldest changes while all of them together are too large.
+ */
+static void limit_changes(struct ctl_cluster *cluster)
+{
+	for (size_t i = 0; i < CLUSTER_CHANGES_MAX &&
+			   cluster->changes_bytes > CLUSTER_CHANGES_BYTES_MAX;
+	     i++)
+		drop_change(cluster,
+			    &cluster->changes[(cluster->next_change + i) %
+					      CLUSTER_CHANGES_MAX]);
+}
+
 void ctl_feed_plan_changed(struct ctl *ctl, const Aw__PlanChange *change,
 			   uint64_t index)
 {
 	struct ctl_cluster *cluster = ctl->cluster;
 	struct cluster_change *slot = &cluster->changes[cluster->next_change];
 
-	message_free(slot->change);
+	drop_change(cluster, slot);
 	slot->change = strip_change(change);
 	slot->base_index = cluster->plan_index;
-	if (slot->change)
+	if (slot->change) {
 		slot->change->index = index;
+		slot->packed_bytes =
+			aw__plan_change__get_packed_size(slot->change);
+		cluster->changes_bytes += slot->packed_bytes;
+	}
 	cluster->next_change = (cluster->next_change + 1) % CLUSTER_CHANGES_MAX;
+	limit_changes(cluster);
 	cluster->plan_index = index;
 	event_log(EVENT_PLAN, "version=%llu base=%llu index=%llu whole=%s",
 		  (unsigned long long)change->version,
