platform, gateway: An empty list of customers still needs keys

Cause: a plan without customers was taken for a configuration without a list of customers, for which no key is needed. An empty list was only kept for reads, and a PATCH that removed the last item of a list dropped the list there too.

The adapter now says whether the configuration has a list of customers, and a PATCH that removes items keeps the list, in the form that earlier builds store and return.

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1917,7 +1917,7 @@
 	const struct gw *gw = request->gw;
 
 	*customer = NULL;
-	if (route->open || !plan_message(gw->plan)->n_customers)
+	if (route->open || !gw->adapter->needs_keys(plan_message(gw->plan)))
 		return true;
 	if (!request->parsed.key) {
 		refuse(request, REFUSAL_KEY_MISSING, 0);
--- a/almondward/service.h
+++ b/almondward/service.h
@@ -141,6 +141,11 @@
 	 * -1 when memory is exhausted.
 	 */
 	int (*format_plan)(const Aw__Plan *plan, struct buf *out);
+	/*
+	 * Returns whether requests need a key, except on open routes: the
+	 * document has a list of customers, which may be empty.
+	 */
+	bool (*needs_keys)(const Aw__Plan *plan);
 	int (*format_lookup)(const char *const *addresses, size_t nr,
 			     uint32_t ttl_ms, struct buf *out);
 	/*
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -374,6 +374,80 @@
 	plan_destroy(plan);
 }
 
+// Applies the changes one after the other. Returns what a read returns then.
+static std::string read_after(const std::vector<std::string> &bodies,
+			      bool *needs_keys)
+{
+	struct plan *plan = plan_create();
+	struct buf out = BUF_INIT;
+	uint64_t index = 0;
+	char detail[256];
+
+	for (const std::string &body : bodies) {
+		Call call(index ? "PATCH" : "PUT", "/api/config", body,
+			  std::to_string(index).c_str());
+
+		EXPECT_EQ(SVC_CALL_PLAN_CHANGE, call.call.kind)
+			<< call.call.detail;
+		if (call.call.kind != SVC_CALL_PLAN_CHANGE)
+			break;
+		EXPECT_EQ(PLAN_ACCEPTED,
+			  plan_change(plan, ++index, call.call.u.change,
+				      detail, sizeof(detail)))
+			<< detail;
+	}
+	EXPECT_EQ(0, platform_adapter()->format_plan(plan_message(plan), &out));
+	*needs_keys = platform_adapter()->needs_keys(plan_message(plan));
+	std::string text((const char *)out.data, out.len_bytes);
+
+	buf_release(&out);
+	plan_destroy(plan);
+	return text;
+}
+
+// A list that became empty was taken for one that the document does not have:
+// without the last customer, requests needed no key any more.
+TEST(Platform, EmptyListsStayPresent)
+{
+	const std::string base = "{\"version\":1,\"routes\":[{\"name\":\"r\","
+				 "\"host\":\"h\",\"pathPrefix\":\"/\",\"kind\":"
+				 "\"safe\",\"service\":\"a\"}],\"services\":"
+				 "[{\"name\":\"a\"}]";
+	const std::string customer = "{\"name\":\"t\",\"apiKeys\":[\"k\"]}";
+	const std::string remove_t =
+		"{\"version\":2,\"remove\":{\"tenants\":[\"t\"]}}";
+	const std::string add_t =
+		"{\"version\":3,\"upsert\":{\"tenants\":[" + customer + "]}}";
+	bool needs_keys;
+
+	read_after({ base + "}" }, &needs_keys);
+	EXPECT_FALSE(needs_keys);
+	read_after({ base + ",\"tenants\":[" + customer + "]}" }, &needs_keys);
+	EXPECT_TRUE(needs_keys);
+	EXPECT_NE(std::string::npos,
+		  read_after({ base + ",\"tenants\":[]}" }, &needs_keys)
+			  .find("\"tenants\":[]"));
+	EXPECT_TRUE(needs_keys);
+	EXPECT_NE(std::string::npos,
+		  read_after({ base + ",\"tenants\":[" + customer + "]}",
+			       remove_t },
+			     &needs_keys)
+			  .find("\"tenants\":[]"));
+	EXPECT_TRUE(needs_keys);
+	EXPECT_NE(std::string::npos,
+		  read_after({ base + ",\"tenants\":[" + customer + "]}",
+			       remove_t, add_t },
+			     &needs_keys)
+			  .find("\"tenants\":[" + customer + "]"));
+	EXPECT_TRUE(needs_keys);
+	EXPECT_NE(std::string::npos,
+		  read_after({ base + "}", "{\"version\":2,\"remove\":"
+					   "{\"routes\":[\"r\"]}}" },
+			     &needs_keys)
+			  .find("\"routes\":[]"));
+	EXPECT_FALSE(needs_keys);
+}
+
 TEST(Platform, DecodesOtherCalls)
 {
 	Call leave("DELETE", "/api/instances/i-1", "{\"born\":12}");
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -223,6 +223,40 @@
         assert answer and answer.status in (401, 503), answer.status
 
 
+async def last_customer_is_removed(cluster):
+    """Without the last customer, requests with any key ran, with one that was taken away
+    and with one that never existed. They need a key until the configuration names no
+    list of customers any more."""
+    config = dict(clusterlib.CONFIG, version=2, tenants=[])
+    base = 1
+
+    async def statuses():
+        await asyncio.sleep(2.6)
+        return [(await cluster.request(entry, "/read/1", key=key)).status
+                for entry in cluster.names("entry") for key in ("key-kim", "key-none")]
+
+    assert (await cluster.put_config(config, base)).status == 200
+    assert await statuses() == [401] * 4, "an empty list of customers"
+    assert (await cluster.read_config())["tenants"] == []
+    config = dict(clusterlib.CONFIG, version=3)
+    assert (await cluster.put_config(config, 2)).status == 200
+    assert await statuses() == [200, 401] * 2, "the customer is back"
+    assert (await cluster.patch(3, 4, {}, remove={"tenants": ["kim"]})).status == 200
+    assert await statuses() == [401] * 4, "the last customer is removed"
+    assert (await cluster.read_config())["tenants"] == []
+    for name in cluster.instances:
+        cluster.kill(name)
+    for name in cluster.instances:
+        cluster.start(name)
+
+    async def answers():
+        answer = await cluster.request("entry-0", "/read/1")
+        return answer and answer.status != 503
+
+    await cluster.wait("entry-0 has the plan", answers, 15)
+    assert await statuses() == [401] * 4, "after a restart of everything"
+
+
 async def malformed_messages(cluster):
     """Bytes that are not a valid message, sent to every port, crash no process."""
     rng = cluster.rng
@@ -379,6 +413,7 @@
     os.environ.setdefault("PYTHONUNBUFFERED", "1")
     cases = [duplicate_responses, earlier_refusals_repeated, statuses_that_promise,
              refusals_of_requests_without_id, stop_under_load, requests_late_in_stop,
+             last_customer_is_removed,
              departures_and_withdrawals_survive_restart,
              malformed_messages, late_heartbeats_and_suspended_instance, lost_responses,
              responses_cut_anywhere, endless_responses, notices_of_departure_and_backoff]
