--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -392,8 +392,8 @@
 		if (call.call.kind != SVC_CALL_PLAN_CHANGE)
 			break;
 		EXPECT_EQ(PLAN_ACCEPTED,
-			  plan_change(plan, ++index, call.call.u.change,
-				      detail, sizeof(detail)))
+			  plan_change(plan, ++index, call.call.u.change, detail,
+				      sizeof(detail)))
 			<< detail;
 	}
 	EXPECT_EQ(0, platform_adapter()->format_plan(plan_message(plan), &out));
