gateway: Divide requests by new weights at once

Cause: the counters of the round robin are as large as the weights, and were kept by a change that left the number of services the same.

The round robin now starts again when a weight changes. Its first upstream is drawn by the weights, so that shares stay right where they change with every few requests.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -370,7 +370,7 @@
 	HASH_ITER(hh, gw->round_robins, round_robin, next_round_robin)
 	{
 		HASH_DEL(gw->round_robins, round_robin);
-		free(round_robin->current_weights);
+		free(round_robin->parts);
 		free(round_robin);
 	}
 }
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -46,12 +46,19 @@
 	UT_hash_handle hh;
 };
 
+/* State of one weighted upstream of a route. */
+struct gw_round_robin_part {
+	uint32_t weight;
+	int64_t current_weight; /* as large as the weights */
+};
+
 /* Smooth weighted round robin over the weighted upstreams of a route. */
 struct gw_round_robin {
 	uint64_t route_hash; /* of its name, which may be of any length */
-	uint64_t plan_index; /* of the weights */
-	int64_t *current_weights; /* one for each upstream of the route */
+	uint64_t plan_index; /* for which the weights were compared */
+	struct gw_round_robin_part *parts;
 	size_t nr;
+	bool has_started; /* with these weights */
 	UT_hash_handle hh;
 };
 
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1737,11 +1737,45 @@
 	return copy;
 }
 
+static bool has_weights(const struct gw_round_robin *round_robin,
+			const Aw__PlanRoute *route)
+{
+	size_t i;
+
+	if (round_robin->nr != route->n_parts)
+		return false;
+	for (i = 0; i < round_robin->nr; i++)
+		if (round_robin->parts[i].weight != route->parts[i]->weight)
+			return false;
+	return true;
+}
+
+/*
+ * Starts again with other weights: the current weights are as large as those
+ * from which they come, and would outweigh smaller ones for as long.
+ */
+static int set_weights(struct gw_round_robin *round_robin,
+		       const Aw__PlanRoute *route)
+{
+	struct gw_round_robin_part *parts =
+		calloc(route->n_parts + 1, sizeof(*parts));
+	size_t i;
+
+	if (!parts)
+		return -1;
+	for (i = 0; i < route->n_parts; i++)
+		parts[i].weight = route->parts[i]->weight;
+	free(round_robin->parts);
+	round_robin->parts = parts;
+	round_robin->nr = route->n_parts;
+	round_robin->has_started = false;
+	return 0;
+}
+
 static struct gw_round_robin *get_round_robin(struct gw *gw,
 					      const Aw__PlanRoute *route)
 {
 	struct gw_round_robin *at;
-	int64_t *current_weights;
 	uint64_t hash = hash_text(route->name);
 
 	HASH_FIND(hh, gw->round_robins, &hash, sizeof(hash), at);
@@ -1753,21 +1787,43 @@
 		HASH_ADD(hh, gw->round_robins, route_hash,
 			 sizeof(at->route_hash), at);
 	}
-	if (at->plan_index == plan_index(gw->plan) && at->nr == route->n_parts)
+	if (at->parts && at->plan_index == plan_index(gw->plan))
 		return at;
-	if (at->nr != route->n_parts) {
-		current_weights =
-			calloc(route->n_parts + 1, sizeof(*current_weights));
-		if (!current_weights)
-			return NULL;
-		free(at->current_weights);
-		at->current_weights = current_weights;
-		at->nr = route->n_parts;
-	}
+	if (!has_weights(at, route) && set_weights(at, route))
+		return NULL;
 	at->plan_index = plan_index(gw->plan);
 	return at;
 }
 
+/*
+ * Draws an upstream by its weight. Where weights change often, or several
+ * instances start at once, the share of each upstream stays that of its weight.
+ */
+static size_t draw_part(struct gw *gw, const struct gw_round_robin *round_robin,
+			int64_t total)
+{
+	int64_t drawn = (int64_t)(erand48(gw->random_state) * (double)total);
+	size_t i;
+
+	for (i = 0; i + 1 < round_robin->nr; i++) {
+		drawn -= round_robin->parts[i].weight;
+		if (drawn < 0)
+			break;
+	}
+	return i;
+}
+
+static size_t largest_part(const struct gw_round_robin *round_robin)
+{
+	size_t i, best = 0;
+
+	for (i = 1; i < round_robin->nr; i++)
+		if (round_robin->parts[i].current_weight >
+		    round_robin->parts[best].current_weight)
+			best = i;
+	return best;
+}
+
 /*
  * Smooth weighted round robin: adds to each upstream its weight, chooses the
  * one with the largest sum and subtracts the total from it. Requests that are
@@ -1777,22 +1833,24 @@
 {
 	struct gw_round_robin *round_robin;
 	int64_t total = 0;
-	size_t i, best = 0;
+	size_t i, chosen;
 
 	if (route->n_parts == 1)
 		return route->parts[0]->upstream;
 	round_robin = get_round_robin(gw, route);
 	if (!round_robin || !route->n_parts)
 		return route->n_parts ? route->parts[0]->upstream : "";
-	for (i = 0; i < route->n_parts; i++) {
-		total += route->parts[i]->weight;
-		round_robin->current_weights[i] += route->parts[i]->weight;
-		if (round_robin->current_weights[i] >
-		    round_robin->current_weights[best])
-			best = i;
+	for (i = 0; i < round_robin->nr; i++) {
+		struct gw_round_robin_part *part = &round_robin->parts[i];
+
+		total += part->weight;
+		part->current_weight += part->weight;
 	}
-	round_robin->current_weights[best] -= total;
-	return route->parts[best]->upstream;
+	chosen = round_robin->has_started ? largest_part(round_robin) :
+					    draw_part(gw, round_robin, total);
+	round_robin->has_started = true;
+	round_robin->parts[chosen].current_weight -= total;
+	return route->parts[chosen]->upstream;
 }
 
 static uint64_t hash_object(const Aw__PlanRoute *route, const char *object)
--- a/tests/gateway_request_test.cc
+++ b/tests/gateway_request_test.cc
@@ -1,5 +1,6 @@
 // Tests how an entry instance forwards a request to a server. The test takes
 // the part of the caller and the server.
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,7 @@
 	struct http_server *server = nullptr;
 	std::string address;
 	std::vector<std::string> deadlines; // of the requests, "": none
+	std::map<std::string, int> runs; // by the id of the expected server
 
 	explicit Server(Net &net)
 	{
@@ -56,6 +58,9 @@
 		struct http_response response = {};
 
 		((Server *)arg)->deadlines.push_back(deadline ? deadline : "");
+		((Server *)arg)
+			->runs[http_header_value(req->headers, req->nr_headers,
+						 "X-Expect-Instance")]++;
 		response.status = 200;
 		response.headers = headers;
 		response.nr_headers = 1;
@@ -73,6 +78,7 @@
 	struct set_settings settings = {};
 	struct gw gw = {};
 	int readings = 0, lost_at = 0; // reading before which time is lost
+	uint64_t version = 0; // of the plan
 
 	explicit Gateway(uint64_t ahead_ms = AHEAD_MS)
 	{
@@ -132,58 +138,84 @@
 			HASH_DEL(gw.upstreams, upstream);
 			free(upstream);
 		}
+		while (gw.round_robins) {
+			struct gw_round_robin *round_robin = gw.round_robins;
+
+			HASH_DEL(gw.round_robins, round_robin);
+			free(round_robin->parts);
+			free(round_robin);
+		}
 		hist_destroy(gw.latency);
 		hist_destroy(gw.wait_time);
 		ctr_set_destroy(gw.counters);
 		clk_destroy(clk);
 	}
 
-	void sync()
+	// Replaces the plan. The route has an upstream with one server for each
+	// weight; all servers have the same address.
+	void sync(const std::vector<uint32_t> &weights = { 1 },
+		  Aw__PlanLimits *limits = nullptr)
 	{
-		Aw__PlanUpstream upstream = AW__PLAN_UPSTREAM__INIT;
-		Aw__PlanUpstream *upstreams[] = { &upstream };
-		Aw__PlanPart part = AW__PLAN_PART__INIT;
-		Aw__PlanPart *parts[] = { &part };
+		size_t nr = weights.size();
+		std::vector<std::string> names, ids;
+		std::vector<Aw__PlanUpstream> upstreams(nr);
+		std::vector<Aw__PlanUpstream *> upstream_list;
+		std::vector<Aw__PlanPart> parts(nr);
+		std::vector<Aw__PlanPart *> part_list;
+		std::vector<Aw__Server> servers(nr);
+		std::vector<Aw__Server *> server_list;
 		Aw__PlanRoute route = AW__PLAN_ROUTE__INIT;
 		Aw__PlanRoute *routes[] = { &route };
 		Aw__Plan plan = AW__PLAN__INIT;
-		Aw__Server message = AW__SERVER__INIT;
-		Aw__Server *servers[] = { &message };
 		Aw__Instance instance = AW__INSTANCE__INIT;
 		Aw__Instance *instances[] = { &instance };
 		Aw__Feed feed = AW__FEED__INIT;
 
-		upstream.name = (char *)"desk";
-		part.upstream = upstream.name;
-		part.weight = 1;
+		for (size_t i = 0; i < nr; i++) {
+			names.push_back("desk-" + std::to_string(i));
+			ids.push_back("server-" + std::to_string(i));
+		}
+		for (size_t i = 0; i < nr; i++) {
+			aw__plan_upstream__init(&upstreams[i]);
+			upstreams[i].name = (char *)names[i].c_str();
+			upstream_list.push_back(&upstreams[i]);
+			aw__plan_part__init(&parts[i]);
+			parts[i].upstream = upstreams[i].name;
+			parts[i].weight = weights[i];
+			part_list.push_back(&parts[i]);
+			aw__server__init(&servers[i]);
+			servers[i].id = (char *)ids[i].c_str();
+			servers[i].upstream = upstreams[i].name;
+			servers[i].zone = (char *)"a1";
+			servers[i].address = (char *)server.address.c_str();
+			servers[i].slots = 8;
+			servers[i].incarnation = servers[i].sequence = 1;
+			servers[i].state = AW__SERVER_STATE__SERVER_ACTIVE;
+			server_list.push_back(&servers[i]);
+		}
 		route.name = (char *)"read";
 		route.host = (char *)"t.example";
 		route.path_prefix = (char *)"/read/";
 		route.timeout_ms = ROUTE_TIMEOUT_MS;
 		route.attempts_max = 2;
-		route.parts = parts;
-		route.n_parts = 1;
-		plan.index = plan.version = 1;
-		plan.upstreams = upstreams;
-		plan.n_upstreams = 1;
+		route.parts = part_list.data();
+		route.n_parts = nr;
+		plan.index = plan.version = ++version;
+		plan.upstreams = upstream_list.data();
+		plan.n_upstreams = nr;
 		plan.routes = routes;
 		plan.n_routes = 1;
+		plan.limits = limits;
 		ASSERT_EQ(0, plan_replace(gw.plan, &plan));
-		message.id = (char *)"server-1";
-		message.upstream = upstream.name;
-		message.zone = (char *)"a1";
-		message.address = (char *)server.address.c_str();
-		message.slots = 8;
-		message.incarnation = message.sequence = 1;
-		message.state = AW__SERVER_STATE__SERVER_ACTIVE;
 		instance.name = settings.name;
 		instance.zone = (char *)"a1";
 		instance.address = (char *)http_server_address(gw.callers);
 		instance.state = AW__INSTANCE_STATE__INSTANCE_ACTIVE;
-		feed.term = feed.table_version = 1;
+		feed.term = 1;
+		feed.table_version = version;
 		feed.table_whole = feed.lists_included = true;
-		feed.servers = servers;
-		feed.n_servers = 1;
+		feed.servers = server_list.data();
+		feed.n_servers = nr;
 		feed.instances = instances;
 		feed.n_instances = 1;
 		ASSERT_EQ(0, topo_apply_feed(gw.topo, &feed));
@@ -199,6 +231,16 @@
 			clk_advance_ms(self->clk, LOST_MS);
 	}
 
+	// Sends requests one after the other. Returns the part of them that the
+	// server of the first upstream got.
+	double share_of_first(int nr)
+	{
+		server.runs.clear();
+		for (int i = 0; i < nr; i++)
+			request(0);
+		return server.runs["server-0"] / (double)nr;
+	}
+
 	// Sends a request. The processor is taken away before the given reading
 	// of the clock. Returns the response.
 	std::string request(int at_reading, uint32_t deadline_ms = 4000)
@@ -309,4 +351,49 @@
 	}
 }
 
+// An upstream whose weight had become small or 0 got most of the requests for as
+// long as the weights before were larger than the new ones.
+TEST(GatewayRequest, SharesFollowNewWeightsAtOnce)
+{
+	const struct {
+		std::vector<uint32_t> before, after;
+		double share; // of the first upstream, by its weight
+	} rows[] = {
+		{ { 500, 500 }, { 0, 1 }, 0 },
+		{ { 500, 500 }, { 1, 0 }, 1 },
+		{ { 900000, 100000 }, { 1, 1 }, 0.5 },
+		{ { 1, 999 }, { 1, 1 }, 0.5 },
+		{ { 500, 500, 500 }, { 1, 2, 1 }, 0.25 },
+		{ { 1, 1 }, { 9000, 1000 }, 0.9 },
+		{ { 500, 500 }, { 500, 500 }, 0.5 },
+	};
+
+	for (const auto &row : rows)
+		for (int nr_before = 0; nr_before < 4; nr_before++) {
+			Gateway gateway(0);
+
+			gateway.sync(row.before);
+			gateway.share_of_first(nr_before);
+			gateway.sync(row.after);
+			EXPECT_NEAR(row.share, gateway.share_of_first(40), 0.05)
+				<< row.before[0] << " to " << row.after[0]
+				<< " after " << nr_before << " requests";
+		}
+}
+
+// Where each request meets new weights, the first upstream must not get all of
+// them.
+TEST(GatewayRequest, SharesFollowWeightsThatChangeOften)
+{
+	Gateway gateway(0);
+	int nr = 0;
+
+	for (uint32_t i = 0; i < 200; i++) {
+		gateway.sync({ 500 + i % 7, 500 + i % 5 });
+		nr += gateway.share_of_first(1) > 0;
+	}
+	EXPECT_GE(nr, 60);
+	EXPECT_LE(nr, 140);
+}
+
 } // namespace
