queue: Scale a customer's lead when its weight changes

Cause: the lead of a customer in the queue is the cost of an item by the weight before. It is now scaled by both weights.

Failed before: Queue.RaisedWeightCountsAtOnce.

--- a/almondward/queue.c
+++ b/almondward/queue.c
@@ -93,6 +93,21 @@
 	return longest;
 }
 
+/*
+ * Scales the lead of the lane, which is as large as the cost of an item by the
+ * weight before, so that it does not count for many items by the new one.
+ */
+static void set_weight(const struct queue *queue, struct queue_lane *lane,
+		       uint32_t weight)
+{
+	if (lane->weight && lane->virtual_time > queue->virtual_time)
+		lane->virtual_time =
+			queue->virtual_time +
+			(lane->virtual_time - queue->virtual_time) *
+				lane->weight / weight;
+	lane->weight = weight;
+}
+
 struct queue_item *queue_push(struct queue *queue, struct queue_item *item,
 			      const char *customer, uint32_t weight, size_t max)
 {
@@ -101,7 +116,7 @@
 	item->lane = NULL;
 	if (!lane)
 		return item;
-	lane->weight = weight ? weight : 1;
+	set_weight(queue, lane, weight ? weight : 1);
 	item->lane = lane;
 	DL_APPEND(lane->items, item);
 	lane->nr_items++;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -835,6 +835,35 @@
 	queue_destroy(queue);
 }
 
+// A customer whose weight was raised waited until the others had been served as
+// often as one item had cost by the weight before.
+TEST(Queue, RaisedWeightCountsAtOnce)
+{
+	struct queue *queue = queue_create();
+	std::vector<Item> items(90);
+	int served = 0;
+
+	for (size_t i = 0; i < 80; i++) {
+		items[i].customer = i < 40 ? "raised" : "other";
+		EXPECT_EQ(nullptr, queue_push(queue, &items[i].item,
+					      items[i].customer.c_str(),
+					      i < 40 ? 1 : 1000, 100));
+	}
+	for (int i = 0; i < 4; i++)
+		queue_serve(queue, accept, nullptr);
+	items[80].customer = "raised";
+	EXPECT_EQ(nullptr,
+		  queue_push(queue, &items[80].item, "raised", 1000, 100));
+	for (int i = 0; i < 20; i++)
+		served += ((Item *)queue_serve(queue, accept, nullptr))
+				  ->customer == "raised";
+	EXPECT_GE(served, 9);
+	EXPECT_LE(served, 11);
+	while (queue_serve(queue, accept, nullptr))
+		;
+	queue_destroy(queue);
+}
+
 // Retries must not multiply the load of a failing upstream.
 TEST(Budget, AllowsThreeAndTenPercent)
 {
