gateway: Limits that a configuration leaves out end

Cause: a plan without limits changed nothing at the listener. It now gets the limits with which an instance starts.

Failed before: GatewayRequest.LimitsThatAreLeftOutEnd.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -14,7 +14,6 @@
 /* A tick that is late by this time is logged: what arrived meanwhile was not
  * read, and callers expect their requests to be read within a few hundred ms. */
 #define LATE_TICK_MS 100
-#define BODY_MAX_BYTES ((size_t)64 << 20)
 /* Bodies are buffered whole in a third of the memory limit; the rest is for
  * responses and connections. */
 #define BODY_MEMORY_DIVISOR 3
@@ -23,7 +22,6 @@
 #define RESPONSE_MEMORY_DIVISOR 5
 #define RESPONSE_MEMORY_BYTES ((uint64_t)256 << 20) /* without a memory limit */
 #define CONNECTIONS_MAX 2000 /* leaves half of 4,100 descriptors for servers */
-#define IDLE_TIMEOUT_MS 15000
 #define HEAD_TIMEOUT_MS 5000
 #define BODY_TIMEOUT_MS 5000
 /*
@@ -246,14 +244,14 @@
 {
 	struct http_server_settings http = {
 		.address = address,
-		.body_max_bytes = BODY_MAX_BYTES,
+		.body_max_bytes = GW_BODY_MAX_BYTES,
 		.body_memory_bytes =
 			gw->settings->cluster.memory_bytes ?
 				gw->settings->cluster.memory_bytes /
 					BODY_MEMORY_DIVISOR :
 				BODY_MEMORY_BYTES,
 		.connections_max = connections_max,
-		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+		.idle_timeout_ms = GW_IDLE_TIMEOUT_MS,
 		.head_timeout_ms = HEAD_TIMEOUT_MS,
 		.body_timeout_ms = BODY_TIMEOUT_MS,
 		.counters = gw->counters,
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -26,6 +26,10 @@
 
 struct gw;
 
+/* Limits for callers where the plan names none. */
+#define GW_BODY_MAX_BYTES ((size_t)64 << 20)
+#define GW_IDLE_TIMEOUT_MS 15000
+
 /* A customer's share of its rate at this instance. */
 struct gw_customer {
 	char name[NAME_BYTES_MAX];
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -2231,8 +2231,10 @@
 	const Aw__PlanLimits *limits = plan_message(gw->plan)->limits;
 
 	sync_customers(gw);
-	if (limits && limits->body_max_bytes)
-		http_server_set_body_max(gw->callers, limits->body_max_bytes);
-	if (limits && limits->idle_timeout_ms)
-		set_idle_timeout(gw, limits->idle_timeout_ms);
+	http_server_set_body_max(gw->callers, limits && limits->body_max_bytes ?
+						      limits->body_max_bytes :
+						      GW_BODY_MAX_BYTES);
+	set_idle_timeout(gw, limits && limits->idle_timeout_ms ?
+				     limits->idle_timeout_ms :
+				     GW_IDLE_TIMEOUT_MS);
 }
--- a/tests/gateway_request_test.cc
+++ b/tests/gateway_request_test.cc
@@ -396,4 +396,31 @@
 	EXPECT_LE(nr, 140);
 }
 
+// A configuration without limits left those of the one before in force.
+TEST(GatewayRequest, LimitsThatAreLeftOutEnd)
+{
+	Gateway gateway(0);
+	Aw__PlanLimits limits = AW__PLAN_LIMITS__INIT;
+	const std::string post =
+		"POST /read/1 HTTP/1.1\r\nHost: t.example\r\nX-Request-Id: "
+		"id-1\r\nContent-Length: 50\r\n\r\n" +
+		std::string(50, 'x');
+
+	limits.body_max_bytes = 10;
+	for (int with_limits : { 0, 1, 0 }) {
+		gateway.sync({ 1 }, with_limits ? &limits : nullptr);
+		gw_plan_changed(&gateway.gw);
+		RawConn caller(gateway.net,
+			       http_server_address(gateway.gw.callers));
+
+		caller.send(post);
+		ASSERT_TRUE(gateway.net.until([&] {
+			return caller.received.find("\r\n\r\n") !=
+			       std::string::npos;
+		}));
+		EXPECT_EQ(with_limits ? "HTTP/1.1 413" : "HTTP/1.1 200",
+			  caller.received.substr(0, 12));
+	}
+}
+
 } // namespace
