http, pool: Keep room for small responses, limit those of leased instances

Reported by another operator: bytes of a faulty server without end made a machine run out of memory.

Cause: four long responses use up the memory that all responses share, and then the smallest response failed too; the sound servers were avoided for it. In the leased roles each response was limited but not all of them together, so enough of them could take all memory.

Bodies of up to 16 KiB are now accepted beyond the shared limit, of responses and of requests: 2,000 connections need 32 MB for them at most. Leased entry instances limit all responses by limits.body_memory_bytes.

HttpClient.SmallResponsesNeedNoSharedMemory is new.

--- a/almondward/entry.c
+++ b/almondward/entry.c
@@ -351,8 +351,11 @@
 				      .zone = settings->zone };
 	struct core_io io = { io_respond, io_refuse, io_on_abort,
 			      io_send,	  io_abort,  io_responding };
-	struct pool_settings pool = { .call_finished = after_backend_call,
-				      .arg = entry };
+	struct pool_settings pool = {
+		.call_finished = after_backend_call,
+		.response_memory_bytes = settings->body_memory_bytes,
+		.arg = entry,
+	};
 
 	entry->clk = clk_create_system();
 	entry->counters = ctr_set_create();
@@ -423,6 +426,7 @@
 	struct http_server_settings callers = {
 		.body_max_bytes = largest_body_bytes(NULL),
 		.body_memory_bytes = settings->body_memory_bytes,
+		.body_small_bytes = HTTP_SMALL_BODY_BYTES,
 		.connections_max = settings->connections_max,
 	};
 
--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -250,6 +250,7 @@
 				gw->settings->cluster.memory_bytes /
 					BODY_MEMORY_DIVISOR :
 				BODY_MEMORY_BYTES,
+		.body_small_bytes = HTTP_SMALL_BODY_BYTES,
 		.connections_max = connections_max,
 		.idle_timeout_ms = GW_IDLE_TIMEOUT_MS,
 		.head_timeout_ms = HEAD_TIMEOUT_MS,
@@ -325,6 +326,7 @@
 		cluster->memory_bytes ?
 			cluster->memory_bytes / RESPONSE_MEMORY_DIVISOR :
 			RESPONSE_MEMORY_BYTES;
+	gw->response_memory.small_bytes = HTTP_SMALL_BODY_BYTES;
 	loop_set_link_rate(gw->loop, cluster->bounds.link_kbit_per_s);
 	if (*cluster->connect_from &&
 	    loop_set_source(gw->loop, cluster->connect_from)) {
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -63,6 +63,7 @@
 	const char *address; /* "IP:port" */
 	size_t body_max_bytes;
 	uint64_t body_memory_bytes; /* of all bodies together, 0: no limit */
+	size_t body_small_bytes; /* as small_bytes of struct http_memory */
 	uint32_t connections_max;
 	uint32_t idle_timeout_ms;
 	uint32_t head_timeout_ms;
@@ -197,8 +198,16 @@
 struct http_memory {
 	uint64_t max_bytes; /* 0: no limit */
 	uint64_t used_bytes;
+	/* Bodies up to this are accepted although the limit is reached. */
+	size_t small_bytes;
 };
 
+/*
+ * For http_memory: a few long bodies that arrive slowly may use up the limit,
+ * and all other messages would be refused.
+ */
+#define HTTP_SMALL_BODY_BYTES ((size_t)16384)
+
 struct http_call {
 	const char *method;
 	const char *target;
--- a/almondward/http_msg.c
+++ b/almondward/http_msg.c
@@ -189,7 +189,7 @@
 
 	if (!memory)
 		return true;
-	if (memory->max_bytes &&
+	if (memory->max_bytes && size_bytes > memory->small_bytes &&
 	    (memory->used_bytes > memory->max_bytes ||
 	     more_bytes > memory->max_bytes - memory->used_bytes))
 		return false;
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -680,6 +680,7 @@
 	new->loop = loop;
 	new->settings = *settings;
 	new->body_memory.max_bytes = settings->body_memory_bytes;
+	new->body_memory.small_bytes = settings->body_small_bytes;
 	new->handler = handler;
 	new->arg = arg;
 	err = loop_listen(loop, settings->address, on_accept, new,
--- a/almondward/pool.c
+++ b/almondward/pool.c
@@ -29,6 +29,7 @@
 
 struct pool {
 	struct pool_settings settings;
+	struct http_memory response_memory; /* of responses being received */
 	struct pool_server *servers;
 	struct backend *backends;
 	struct ctr *opened;
@@ -45,6 +46,8 @@
 	if (!pool)
 		return NULL;
 	pool->settings = *settings;
+	pool->response_memory.max_bytes = settings->response_memory_bytes;
+	pool->response_memory.small_bytes = HTTP_SMALL_BODY_BYTES;
 	pool->opened = ctr_get(set, "backend_connections", "opened");
 	pool->reused = ctr_get(set, "backend_connections", "reused");
 	pool->closed_idle = ctr_get(set, "backend_connections", "closed_idle");
@@ -258,6 +261,7 @@
 	http.may_send = call_may_send;
 	http.done = call_done;
 	http.arg = backend;
+	http.response_memory = &pool->response_memory;
 	if ((call->new_connection || !send_on_idle(pool, backend, &http)) &&
 	    !send_on_new(pool, backend, &http)) {
 		free(backend);
--- a/almondward/pool.h
+++ b/almondward/pool.h
@@ -24,6 +24,7 @@
 	struct loop *loop;
 	struct agent *agent; /* has the number of held slots */
 	struct ctr_set *counters;
+	uint64_t response_memory_bytes; /* of all responses, 0: no limit */
 	/* A call has finished, and its connection is idle or closed. */
 	void (*call_finished)(void *arg);
 	void *arg;
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -558,6 +558,8 @@
             "endless_trailer": (chunked + b"0\r\n", b"X-Filler: " + filler[:900] + b"\r\n"),
             "endless_chunks": (chunked, b"3e80\r\n" + filler + b"\r\n"),
             "endless_body": (head + b"\r\n", filler),
+            # As long as a response may be where a process has 160 MB.
+            "endless_slow": (head + b"Content-Length: 8388608\r\n\r\n", b"x"),
             "one_byte": (head, b"X"),
         }[self.fault]
         writer.write(begin)
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -795,7 +795,7 @@
 // of a failed response is returned.
 TEST(HttpClient, ResponsesShareMemoryLimit)
 {
-	struct http_memory memory = { 100000, 0 };
+	struct http_memory memory = { 100000, 0, 0 };
 	Client first, second;
 
 	for (Client *c : { &first, &second }) {
@@ -816,6 +816,31 @@
 	EXPECT_EQ(0u, memory.used_bytes);
 }
 
+// Long bodies that arrive slowly used up the limit, and responses of other
+// servers, whatever their size, failed.
+TEST(HttpClient, SmallResponsesNeedNoSharedMemory)
+{
+	struct http_memory memory = { 100000, 0, HTTP_SMALL_BODY_BYTES };
+	Client first, second, third;
+
+	for (Client *c : { &first, &second, &third }) {
+		c->call.response_memory = &memory;
+		c->call.response_max_bytes = 100000;
+		c->call.timeout_ms = 5000;
+		c->start_and_wait();
+	}
+	first.server.last.send(OK + "Content-Length: 100000\r\n\r\nx");
+	ASSERT_TRUE(first.net.until([&] { return memory.used_bytes > 0; }));
+	second.server.last.send(OK + "Content-Length: 16384\r\n\r\n" +
+				std::string(16384, 'x'));
+	ASSERT_TRUE(second.finish());
+	EXPECT_EQ(HTTP_OK, second.result);
+	third.server.last.send(OK + "Content-Length: 16385\r\n\r\n");
+	ASSERT_TRUE(third.finish());
+	EXPECT_EQ(HTTP_MEMORY, third.result);
+	EXPECT_EQ(100000u, memory.used_bytes);
+}
+
 // The head of an incomplete response is passed on: with a header in it a server
 // announces that it is leaving.
 TEST(HttpClient, HeadOfIncompleteResponseIsPassedOn)
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -389,6 +389,39 @@
     assert grown < 80 * 1024, grown
 
 
+async def endless_responses_spare_others(cluster):
+    """Servers send responses without end, or long ones that arrive slowly, which may take
+    all of the memory for responses: requests that run on the other servers are still
+    answered."""
+    faulty = ("server-0", "server-1")
+    for server in cluster.servers.values():
+        server.work_s = 0.05
+        if server.name in faulty:
+            server.fault = "endless_slow" if server.name == "server-0" else "endless_body"
+    end = time.monotonic() + 3
+    bad, served, nr_faulty = [], 0, 0
+
+    async def caller():
+        nonlocal served, nr_faulty
+        while time.monotonic() < end:
+            request_id = f"{cluster.rng.getrandbits(64):016x}"
+            answer = await cluster.request("entry-0", f"/write/{cluster.rng.randrange(500)}",
+                                           "POST", b"x", request_id)
+            is_served = bool(answer and answer.status == 200)
+            ran_at = cluster.runs.get(request_id, ["-"])[-1]
+            served += is_served
+            nr_faulty += ran_at in faulty
+            if ran_at not in faulty + ("-",) and not is_served:
+                bad.append((request_id, ran_at, answer and (answer.status, answer.body)))
+
+    await asyncio.gather(*(caller() for _ in range(40)))
+    print(f"# {served} served, {nr_faulty} at the faulty servers, {len(bad)} others failed",
+          flush=True)
+    assert nr_faulty > 8, nr_faulty
+    assert served > 100, served
+    assert not bad, (len(bad), bad[:3])
+
+
 async def notices_of_departure_and_backoff(cluster):
     """Notices in responses: a server that announces its departure in this way only,
     not to the control instances, gets no request after the drain time; one that
@@ -416,7 +449,7 @@
              last_customer_is_removed,
              departures_and_withdrawals_survive_restart,
              malformed_messages, late_heartbeats_and_suspended_instance, lost_responses,
-             responses_cut_anywhere, endless_responses, notices_of_departure_and_backoff]
+             responses_cut_anywhere, endless_responses, endless_responses_spare_others, notices_of_departure_and_backoff]
     chosen = sys.argv[2:]
     clusterlib.run_cases([(case.__name__, lambda case=case: clusterlib.run_case(build, case))
                           for case in cases if not chosen or case.__name__ in chosen])
