tests: Disks of control instances that are full in turn

What was seen: while the disk of the leader is full, it stays leader and changes are refused.

Two guards land, both pass on the code before: Raft OperationsAreAcceptedAfterDisksWereFullInTurn and process_cluster.py disks_full_in_turn.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import socket
 import struct
@@ -628,7 +629,8 @@
             **self.ports))
         log = open(self.path / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
-            [str(self.binary), "run", "-c", str(settings)], stdout=log, stderr=log)
+            [str(self.binary), "run", "-c", str(settings)], stdout=log, stderr=log,
+            restore_signals=False)  # a full disk sends no SIGXFSZ, see fill_disk()
         log.close()
 
     def signal(self, name, number):
@@ -640,6 +642,13 @@
         self.signal(name, signal.SIGKILL)
         self.processes[name].wait()
 
+    def fill_disk(self, name, is_full):
+        """Lets all writes to files of a process fail with EFBIG, which it takes for a full
+        disk, or ends that. Its log lines are lost meanwhile."""
+        hard = resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE)[1]
+        resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE,
+                         (1 if is_full else hard, hard))
+
     def wipe(self, name):
         for file in (self.path / name).iterdir():
             file.unlink()
--- a/tests/process_cluster.py
+++ b/tests/process_cluster.py
@@ -10,6 +10,8 @@
 import soak
 
 SOAK_SEEDS = [11, 12]  # seeds of soak.py that run here
+# A change is acknowledged this long after the disks have room again.
+ACK_S = 4
 
 
 async def serves_and_reads_back(cluster):
@@ -215,6 +217,44 @@
     assert cluster.processes["entry-0"].wait(timeout=8) == 0
 
 
+async def disks_full_in_turn(cluster):
+    """The disks of the control instances are full for some seconds each, never two at
+    once, while the configuration changes: with room again, each change is acknowledged
+    in time. Reported by an operator of another system, where they were refused from then
+    on."""
+    loop = asyncio.get_running_loop()
+    version = 1
+
+    async def change(until):
+        """Sends one change until it is acknowledged. Returns the seconds it took."""
+        nonlocal version
+        config = dict(clusterlib.CONFIG, version=version + 1)
+        config["limits"] = dict(config["limits"], maxBodyBytes=1048576 + version)
+        started = loop.time()
+        while loop.time() < until:
+            answer = await cluster.put_config(config, version)
+            if answer:
+                assert answer.status == 200, (answer.status, answer.body)
+                version += 1
+                break
+            await asyncio.sleep(0.1)
+        return loop.time() - started
+
+    for name in cluster.names("control") * 2:
+        cluster.fill_disk(name, True)
+        end = loop.time() + 1.5
+        while loop.time() < end:
+            await change(end)
+        cluster.fill_disk(name, False)
+        took = await change(loop.time() + 10)
+        assert took < ACK_S, (name, took)
+    for _ in range(20):
+        took = await change(loop.time() + 10)
+        assert took < 1, took
+    assert all(process.poll() is None for process in cluster.processes.values())
+    assert (await cluster.read_config())["version"] == version
+
+
 async def slow_link(cluster):
     """Large bodies that share a slow link arrive complete and do not delay small
     requests, because they are sent in parts."""
@@ -259,7 +299,7 @@
                           no_request_cut_beside_idle_changes,
                           replaced_control_instance,
                           departed_server_gets_no_requests, stop_finishes_requests,
-                          faulty_responses)]
+                          disks_full_in_turn, faulty_responses)]
     cases.append(("slow_link", lambda: clusterlib.run_case(build, slow_link, link_mbit=4)))
     cases += [(f"soak seed {seed}", soak.case(build, seed))
               for seed in SOAK_SEEDS + soak.REGRESSIONS]
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -400,6 +400,49 @@
 	EXPECT_TRUE(cluster.run_until_converged(5000)) << cluster.describe();
 }
 
+// Reported by an operator of another system: the disks of voters were full for
+// some seconds each, never two at once, and changes were refused long after the
+// last one had room again. Elections, restarts and large entries happen beside.
+TEST_F(Raft, OperationsAreAcceptedAfterDisksWereFullInTurn)
+{
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		Cluster cluster(seed, seed % 2 ? 3 : 5, 60);
+
+		cluster.snapshot_log_bytes = 500000;
+		cluster.silent_voter_removal_ms = 1000;
+		for (Node &node : cluster.nodes) {
+			cluster.stop(node);
+			cluster.start(node);
+		}
+		ASSERT_TRUE(cluster.run_until_converged(20000)) << seed;
+		for (int round = 0; round < 8; round++) {
+			Node &full = cluster.nodes[cluster.rng() %
+						   cluster.nodes.size()];
+			Node *leader = cluster.leader();
+			int nr = 20 + (int)(cluster.rng() % 60);
+
+			full.disk->full = true;
+			for (int i = 0; i < nr; i++) {
+				cluster.propose(i % 5 ? 50 : 100000);
+				cluster.run(50);
+				if (i == nr / 2 && leader && leader != &full &&
+				    leader->raft && cluster.chance(300))
+					cluster.crash(*leader, 300);
+			}
+			full.disk->full = false;
+			cluster.run(cluster.rng() % 500);
+		}
+		uint64_t last = cluster.committed.rbegin()->first;
+
+		ASSERT_TRUE(cluster.run_until_converged(4000))
+			<< seed << cluster.describe();
+		EXPECT_TRUE(cluster.propose()) << seed;
+		cluster.run(500);
+		EXPECT_GT(cluster.committed.rbegin()->first, last) << seed;
+		EXPECT_EQ("", cluster.error) << seed;
+	}
+}
+
 // After a failed sync an instance must not acknowledge or send anything.
 TEST_F(Raft, FailedSyncStopsAllMessages)
 {
