reach: Checks that began before the return do not delay it

Failures of checks and of connections of requests now end the row only if nothing was established for 250 ms, as those of probes.

Failed before: Reach.ChecksFromBeforeTheReturnDoNotDelayIt (2.02 s; 1.8 s are the bound).

--- a/almondward/reach.c
+++ b/almondward/reach.c
@@ -149,10 +149,20 @@
 	end_round(reach);
 }
 
+/*
+ * A connection that began before the links returned may fail after it, so a
+ * failure soon after a success does not count.
+ */
+static void end_successes(struct reach *reach)
+{
+	if (now_ms(reach) > reach->connected_ms + PROBE_INTERVAL_MS)
+		reach->nr_successes = 0;
+}
+
 void reach_connect_failed(struct reach *reach)
 {
 	reach->connect_failed = true;
-	reach->nr_successes = 0;
+	end_successes(reach);
 }
 
 void reach_check(struct reach *reach)
@@ -183,9 +193,7 @@
 		reach_connected(reach);
 		return;
 	}
-	/* A probe that began before the links returned may fail after it. */
-	if (at_ms > reach->connected_ms + PROBE_INTERVAL_MS)
-		reach->nr_successes = 0;
+	end_successes(reach);
 	if (!reach->in_round || ++reach->nr_failed < reach->round_size)
 		return;
 	if (at_ms >= reach->first_round_ms + FAILED_MIN_MS)
--- a/tests/reach_test.cc
+++ b/tests/reach_test.cc
@@ -350,6 +350,33 @@
 	}
 }
 
+// A check of a single server that began before the return fails up to 0.7 s after
+// it. It started the count of successful connections again, and the return was
+// noticed only after 2 s.
+TEST_F(Reach, ChecksFromBeforeTheReturnDoNotDelayIt)
+{
+	for (int i = 0; i < 8; i++) {
+		uint64_t returned_ms, failed_ms = 480 + i * 30;
+		bool has_failed = false;
+
+		link = LINK_SILENT;
+		run(DETECTION_MAX_MS);
+		ASSERT_EQ(REACH_CUT, reach_state(reach)) << i;
+		link = LINK_UP;
+		returned_ms = now();
+		while (reach_state(reach) != REACH_OK &&
+		       now() < returned_ms + 5000) {
+			step();
+			if (has_failed || now() < returned_ms + failed_ms)
+				continue;
+			has_failed = true;
+			reach_connect_failed(reach);
+		}
+		EXPECT_LT(now() - returned_ms, (uint64_t)FLAPPING_RETURN_MAX_MS)
+			<< i;
+	}
+}
+
 // A server that refuses connections has exited only if others accept them, which
 // must be known soon.
 TEST_F(Reach, ChecksAtOnceOnRequest)
