--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -235,6 +235,24 @@
 			nr += instance->nr_requests;
 		return nr;
 	}
+
+	// Three near instances refuse requests with this error: each gets one,
+	// and further requests go to a far one, which is returned.
+	Instance *expect_avoided(const char *error)
+	{
+		for (const char *name : { "n1", "n2", "n3" })
+			add(name, "a1")->refuse(503, error);
+		auto able = add("far", "b1");
+
+		sync();
+		run();
+		EXPECT_EQ(200u, status);
+		EXPECT_EQ(4u, nr_requests());
+		run();
+		EXPECT_EQ(5u, nr_requests());
+		EXPECT_EQ(2u, able->nr_requests);
+		return able;
+	}
 };
 
 TEST_F(Relay, PassesTheRequestOnWhole)
@@ -429,17 +447,8 @@
 
 TEST_F(Relay, InstancesWithoutLinksAreAvoided)
 {
-	for (const char *name : { "n1", "n2", "n3" })
-		add(name, "a1")->refuse(503, "servers_unreachable");
-	auto able = add("far", "b1");
+	auto able = expect_avoided("servers_unreachable");
 
-	sync();
-	run();
-	EXPECT_EQ(200u, status);
-	EXPECT_EQ(4u, nr_requests());
-	run();
-	EXPECT_EQ(5u, nr_requests());
-	EXPECT_EQ(2u, able->nr_requests);
 	// Then they get requests again.
 	net.run_ms(1600);
 	for (auto &instance : instances)
@@ -451,17 +460,7 @@
 // They would refuse further requests until they exit.
 TEST_F(Relay, StoppingInstancesAreAvoided)
 {
-	for (const char *name : { "n1", "n2", "n3" })
-		add(name, "a1")->refuse(503, "draining");
-	auto able = add("far", "b1");
-
-	sync();
-	run();
-	EXPECT_EQ(200u, status);
-	EXPECT_EQ(4u, nr_requests());
-	run();
-	EXPECT_EQ(5u, nr_requests());
-	EXPECT_EQ(2u, able->nr_requests);
+	expect_avoided("draining");
 }
 
 // Nothing was sent, so even a request that is not idempotent is sent again.
