--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1742,7 +1742,7 @@
 {
 	size_t i;
 
-	if (round_robin->nr != route->n_parts)
+	if (!round_robin->parts || round_robin->nr != route->n_parts)
 		return false;
 	for (i = 0; i < round_robin->nr; i++)
 		if (round_robin->parts[i].weight != route->parts[i]->weight)
