gateway: Apply limits only where there is a listener for callers

The check is made in the product, since the listener is optional in open_server(). gateway_link_test and gateway_request_test pass.

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -2231,6 +2231,8 @@
 	const Aw__PlanLimits *limits = plan_message(gw->plan)->limits;
 
 	sync_customers(gw);
+	if (!gw->callers)
+		return;
 	http_server_set_body_max(gw->callers, limits && limits->body_max_bytes ?
 						      limits->body_max_bytes :
 						      GW_BODY_MAX_BYTES);
