gateway: Log what the network link carries

The logs of an incident in which requests were held past the time limit of their route could not show what filled the links of the instances, in which direction, and how long a message waited there.

An entry instance with a link of known rate now logs, each second in which the link was more than half used or slow, the bytes in both directions by what the connections carry, the estimated backlog, and the times that it took to connect to servers of its region.

--- a/almondward/event.c
+++ b/almondward/event.c
@@ -24,6 +24,7 @@
 	[EVENT_SHARE] = "share",       [EVENT_HEARTBEAT] = "heartbeat",
 	[EVENT_READ] = "read",	       [EVENT_CRASH] = "crash",
 	[EVENT_LOOP] = "loop",	       [EVENT_REACH] = "reach",
+	[EVENT_NET] = "net",
 };
 
 struct rate {
--- a/almondward/event.h
+++ b/almondward/event.h
@@ -45,6 +45,7 @@
 	EVENT_CRASH, /* a server exited, or a request is suspected of a crash */
 	EVENT_LOOP, /* the event loop handled nothing for some time */
 	EVENT_REACH, /* servers cannot be reached, or can be again */
+	EVENT_NET, /* the network link is busy, or messages wait for it */
 	EVENT_COUNT
 };
 
--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -190,6 +190,7 @@
 	gw_reach_tick(gw);
 	gw_crash_check_probes(gw);
 	gw_slots_tick(gw);
+	gw_net_tick(gw);
 	if (now_ms >= gw->last_slow_tick_ms + SLOW_TICK_MS) {
 		gw->last_slow_tick_ms = now_ms;
 		gw_backend_tick(gw);
@@ -244,6 +245,8 @@
 {
 	struct http_server_settings http = {
 		.address = address,
+		.use = handler == gw_on_request ? LOOP_USE_CALLERS :
+						  LOOP_USE_OTHER,
 		.body_max_bytes = GW_BODY_MAX_BYTES,
 		.body_memory_bytes =
 			gw->settings->cluster.memory_bytes ?
--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -132,6 +132,19 @@
 	return NULL;
 }
 
+static enum loop_error open_conn(struct gw *gw,
+				 const struct steer_server *server,
+				 struct http_conn **conn)
+{
+	enum loop_error err =
+		http_conn_create(gw->loop, steer_server_address(server),
+				 GW_CONNECT_TIMEOUT_MS, conn);
+
+	if (!err)
+		http_conn_set_use(*conn, LOOP_USE_SERVERS);
+	return err;
+}
+
 struct http_conn *gw_backend_call(struct gw *gw, struct steer_server *server,
 				  const struct http_call *call,
 				  uint64_t id_hash, uint64_t idle_max_ms,
@@ -144,8 +157,7 @@
 	if (!conn) {
 		*conn_info = (struct gw_conn_info){ .is_new = true,
 						    .is_opening = true };
-		if (http_conn_create(gw->loop, steer_server_address(server),
-				     GW_CONNECT_TIMEOUT_MS, &conn))
+		if (open_conn(gw, server, &conn))
 			return NULL;
 	}
 	gw_count(gw, "backend_connections",
@@ -187,8 +199,7 @@
 	struct http_conn *conn;
 
 	/* After a failure the call opens a connection itself. */
-	if (!http_conn_create(gw->loop, steer_server_address(server),
-			      GW_CONNECT_TIMEOUT_MS, &conn))
+	if (!open_conn(gw, server, &conn))
 		add_idle(gw, server, conn, IDLE_MAX_MS, true, 0);
 }
 
@@ -257,8 +268,7 @@
 
 static void start_check(struct gw *gw, struct gw_backend *backend)
 {
-	if (http_conn_create(gw->loop, steer_server_address(backend->server),
-			     GW_CONNECT_TIMEOUT_MS, &backend->check)) {
+	if (open_conn(gw, backend->server, &backend->check)) {
 		backend->check = NULL;
 		delay_check(gw, backend);
 		return;
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -125,6 +125,16 @@
 	uint64_t next_token;
 };
 
+/* What the network link carried, and how long messages waited for it. */
+struct gw_net {
+	struct loop_traffic logged[LOOP_USE_COUNT]; /* at the last log line */
+	uint64_t logged_ms;
+	/* New connections to servers of the own region since then. */
+	uint32_t nr_connects;
+	uint32_t connect_min_ms;
+	uint32_t connect_max_ms;
+};
+
 struct gw {
 	struct set_settings *settings; /* own copy, which SIGHUP changes */
 	const char *settings_path;
@@ -147,6 +157,7 @@
 	struct steer *steer;
 	struct gossip *gossip;
 	struct gw_slots slots;
+	struct gw_net net;
 	unsigned short random_state[3];
 	char **evacuated_zones;
 	size_t nr_evacuated_zones;
@@ -216,6 +227,14 @@
 bool gw_stop_allows(const struct gw *gw, uint64_t deadline_ms,
 		    uint32_t expected_ms);
 
+/* ---- gateway_net.c ---- */
+
+/* Records the time that it took to connect to a server. */
+void gw_net_connected(struct gw *gw, const struct steer_server *server,
+		      uint32_t connect_ms);
+/* Logs what the link carried. Call every 20 ms. */
+void gw_net_tick(struct gw *gw);
+
 /* ---- gateway_link.c ---- */
 
 int gw_link_open(struct gw *gw);
--- a/almondward/gateway_reach.c
+++ b/almondward/gateway_reach.c
@@ -145,7 +145,9 @@
 			     &probe->conn)) {
 		probe->conn = NULL;
 		reach_probe_end(reach->reach, false);
+		return;
 	}
+	http_conn_set_use(probe->conn, LOOP_USE_SERVERS);
 }
 
 /*
--- a/almondward/gateway_relay.c
+++ b/almondward/gateway_relay.c
@@ -304,6 +304,7 @@
 	if (!conn && http_conn_create(gw->loop, peer->address,
 				      CONNECT_TIMEOUT_MS, &conn))
 		return false;
+	http_conn_set_use(conn, LOOP_USE_RELAYS);
 	if (http_conn_call(conn, &call)) {
 		http_conn_destroy(conn);
 		return false;
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -658,6 +658,9 @@
 {
 	struct gw_request *request = arg;
 
+	if (request->conn_info.is_opening && request->conn)
+		gw_net_connected(request->gw, request->choice.server,
+				 http_conn_connect_ms(request->conn));
 	request->is_sent = may_send(arg);
 	if (request->is_sent && request->conn_info.is_opening)
 		request->settles_ms = gw_now_ms(request->gw) + GW_SETTLE_MS +
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -69,6 +69,7 @@
 	uint32_t head_timeout_ms;
 	uint32_t body_timeout_ms; /* without progress of a body or response */
 	struct ctr_set *counters; /* may be NULL */
+	enum loop_use use; /* of the connections */
 	/*
 	 * Generates the request id of a response that has none, such as a
 	 * refusal sent by the server itself; arg is that of the handler. NULL:
@@ -187,6 +188,11 @@
 				 uint32_t connect_timeout_ms,
 				 struct http_conn **conn);
 
+/*
+ * Sets what the connection carries, see loop_conn_set_use().
+ */
+void http_conn_set_use(struct http_conn *conn, enum loop_use use);
+
 /*
  * Closes at once; the done callback of a request in flight is not called.
  */
--- a/almondward/http_client.c
+++ b/almondward/http_client.c
@@ -480,6 +480,12 @@
 	return err;
 }
 
+void http_conn_set_use(struct http_conn *conn, enum loop_use use)
+{
+	if (conn->loop_conn)
+		loop_conn_set_use(conn->loop_conn, use);
+}
+
 void http_conn_destroy(struct http_conn *conn)
 {
 	if (!conn)
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -656,6 +656,7 @@
 		return;
 	}
 	loop_conn_set_ops(loop_conn, &conn_ops, conn);
+	loop_conn_set_use(loop_conn, server->settings.use);
 	DL_APPEND(server->conns, conn);
 	server->nr_conns++;
 	ctr_set_value(server->connections, server->nr_conns);
--- a/almondward/loop.c
+++ b/almondward/loop.c
@@ -108,6 +108,31 @@
 	pace_init(&loop->pace, rate_kbit_per_s);
 }
 
+uint32_t loop_backlog_ms(struct loop *loop)
+{
+	return pace_backlog_ms(&loop->pace, clk_now_ms(loop->clk));
+}
+
+const struct loop_traffic *loop_traffic(const struct loop *loop,
+					enum loop_use use)
+{
+	return &loop->traffic[use];
+}
+
+const char *loop_use_name(enum loop_use use)
+{
+	static const char *const names[LOOP_USE_COUNT] = {
+		[LOOP_USE_OTHER] = "other",
+		[LOOP_USE_CALLERS] = "callers",
+		[LOOP_USE_SERVERS] = "servers",
+		[LOOP_USE_RELAYS] = "relays",
+		[LOOP_USE_CONTROL] = "control",
+		[LOOP_USE_DATAGRAMS] = "datagrams",
+	};
+
+	return names[use];
+}
+
 static int bind_source(const union loop_sockaddr *source, int fd)
 {
 	socklen_t len = source->any.sa_family == AF_INET ? sizeof(source->in) :
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -47,6 +47,12 @@
  */
 void loop_set_link_rate(struct loop *loop, uint32_t rate_kbit_per_s);
 
+/*
+ * Returns the milliseconds that the link needs, by estimate, to send what was
+ * passed to the system so far; 0 without a known rate.
+ */
+uint32_t loop_backlog_ms(struct loop *loop);
+
 /*
  * Connects from this local IP address to addresses of the same family. Returns
  * LOOP_ERR_ADDRESS if ip is not an IP address, and LOOP_ERR_SYSTEM if the
@@ -89,6 +95,30 @@
 void loop_timer_set(struct loop_timer *timer, uint64_t delay_ms);
 void loop_timer_cancel(struct loop_timer *timer);
 
+/*
+ * What a connection carries, for the counts of loop_traffic(). Datagrams count
+ * by themselves.
+ */
+enum loop_use {
+	LOOP_USE_OTHER,
+	LOOP_USE_CALLERS, /* also other entry instances that relay */
+	LOOP_USE_SERVERS,
+	LOOP_USE_RELAYS, /* to other entry instances */
+	LOOP_USE_CONTROL,
+	LOOP_USE_DATAGRAMS,
+	LOOP_USE_COUNT
+};
+
+/* Payload bytes since the start of the loop. */
+struct loop_traffic {
+	uint64_t received_bytes;
+	uint64_t sent_bytes;
+};
+
+const struct loop_traffic *loop_traffic(const struct loop *loop,
+					enum loop_use use);
+const char *loop_use_name(enum loop_use use);
+
 struct loop_conn_ops {
 	/* An outgoing connection is established. May be NULL. */
 	void (*opened)(void *arg, struct loop_conn *conn);
@@ -177,6 +207,11 @@
 void loop_conn_set_ops(struct loop_conn *conn, const struct loop_conn_ops *ops,
 		       void *arg);
 
+/*
+ * Sets what the connection carries; LOOP_USE_OTHER before.
+ */
+void loop_conn_set_use(struct loop_conn *conn, enum loop_use use);
+
 /*
  * Sends data, and queues what the system does not take at once. On
  * LOOP_ERR_MEMORY nothing was sent. On LOOP_ERR_CLOSED the connection cannot
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -49,6 +49,7 @@
 	struct buf out; /* send queue */
 	size_t out_offset_bytes; /* bytes of out already sent */
 	uint64_t sent_bytes;
+	enum loop_use use;
 	size_t linger_queued_bytes; /* at the last check for progress */
 	struct loop_timer timer; /* connect timeout, later limit for closing */
 	bool waits_for_pace; /* is in loop->pace_waiting */
@@ -281,6 +282,11 @@
 	conn->arg = arg;
 }
 
+void loop_conn_set_use(struct loop_conn *conn, enum loop_use use)
+{
+	conn->use = use;
+}
+
 /* ---- sending ---- */
 
 /*
@@ -313,6 +319,7 @@
 	while (sent < 0 && errno == EINTR);
 	if (sent >= 0) {
 		conn->sent_bytes += (uint64_t)sent;
+		conn->loop->traffic[conn->use].sent_bytes += (uint64_t)sent;
 		if (conn->loop->pace.bytes_per_ms)
 			pace_sent(&conn->loop->pace, (size_t)sent,
 				  clk_now_ms(conn->loop->clk));
@@ -567,6 +574,7 @@
 	/* A readable socket is connected, even if not yet found writable. */
 	if (conn->state == CONN_CONNECTING && finish_connect(conn))
 		return -1;
+	conn->loop->traffic[conn->use].received_bytes += len_bytes;
 	if (conn->state == CONN_LINGER || !conn->ops)
 		return 0;
 	enter_callback(conn);
--- a/almondward/loop_private.h
+++ b/almondward/loop_private.h
@@ -38,6 +38,7 @@
 	struct pace pace; /* send rate of large bodies */
 	struct loop_conn *pace_waiting; /* longest waiting first */
 	struct loop_timer pace_timer;
+	struct loop_traffic traffic[LOOP_USE_COUNT];
 	/* The tables of libwebsockets have entries for descriptors below it. */
 	int descriptors_max;
 	union loop_sockaddr source; /* of connections, AF_UNSPEC: any */
--- a/almondward/loop_udp.c
+++ b/almondward/loop_udp.c
@@ -37,6 +37,8 @@
 			       &sa.any, &sa_len);
 		if (len < 0)
 			return;
+		udp->loop->traffic[LOOP_USE_DATAGRAMS].received_bytes +=
+			(uint64_t)len;
 		loop_format_address(&sa, from, sizeof(from));
 		udp->fn(udp->arg, from, data, (size_t)len);
 	}
@@ -99,5 +101,6 @@
 		return err;
 	if (sendto(udp->fd, data, len_bytes, MSG_DONTWAIT, &sa.any, len) < 0)
 		return LOOP_ERR_SYSTEM;
+	udp->loop->traffic[LOOP_USE_DATAGRAMS].sent_bytes += len_bytes;
 	return LOOP_OK;
 }
--- a/almondward/pace.c
+++ b/almondward/pace.c
@@ -39,6 +39,14 @@
 	pace->backlog_bytes += (double)len_bytes;
 }
 
+uint32_t pace_backlog_ms(struct pace *pace, uint64_t now_ms)
+{
+	if (!pace->bytes_per_ms)
+		return 0;
+	update_backlog(pace, now_ms);
+	return (uint32_t)(pace->backlog_bytes / pace->bytes_per_ms);
+}
+
 uint32_t pace_wait_ms(struct pace *pace, uint64_t now_ms)
 {
 	double excess_bytes;
--- a/almondward/pace.h
+++ b/almondward/pace.h
@@ -36,6 +36,11 @@
  */
 void pace_sent(struct pace *pace, size_t len_bytes, uint64_t now_ms);
 
+/*
+ * Returns the milliseconds that the link needs to send its backlog.
+ */
+uint32_t pace_backlog_ms(struct pace *pace, uint64_t now_ms);
+
 /*
  * Returns how many bytes of a large body may be sent now, 0 if none.
  */
--- a/almondward/peer.c
+++ b/almondward/peer.c
@@ -545,6 +545,7 @@
 	}
 	link->conn = conn;
 	peer_queue_set_conn(link->queue, conn);
+	loop_conn_set_use(conn, LOOP_USE_CONTROL);
 	loop_conn_set_ops(conn, &link_ops, link);
 	on_opened(link, conn);
 }
@@ -562,10 +563,12 @@
 	link->target = target;
 	target->link = link;
 	if (loop_connect(node->loop, target->address, PEER_SILENT_MS, &link_ops,
-			 link, &link->conn))
+			 link, &link->conn)) {
 		link_teardown(link);
-	else
-		peer_queue_set_conn(link->queue, link->conn);
+		return;
+	}
+	loop_conn_set_use(link->conn, LOOP_USE_CONTROL);
+	peer_queue_set_conn(link->queue, link->conn);
 }
 
 /* ---- node ---- */
