gateway, peer: Count the wait for a full link in time limits

The instances ended each request on time by their own clock, which starts when the head of a request has been read. The link towards the instance was full with bodies, and heads waited there before.

An instance now measures the wait. A control instance replies at once to a ping with echo; what the round trip takes longer than the shortest one is the wait. Time limits begin when the head of the request began to wait, and the response is due earlier by the time that the backlog of the link needs, also within the time limit of the route. A request whose body is not complete when its time is up is refused. Time limits of connections are extended by the wait: a full link was taken for servers that cannot be reached.

Control instances of an earlier version do not reply, and the wait is then 0.

--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -11612,7 +11612,7 @@
   (ProtobufCMessageInit) aw__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__ping__field_descriptors[3] =
+static const ProtobufCFieldDescriptor aw__ping__field_descriptors[5] =
 {
   {
     "leader",
@@ -11650,16 +11650,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "echo",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Ping, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echoed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Ping, echoed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__ping__field_indices_by_name[] = {
   2,   /* field[2] = controls */
+  3,   /* field[3] = echo */
+  4,   /* field[4] = echoed */
   0,   /* field[0] = leader */
   1,   /* field[1] = term */
 };
 static const ProtobufCIntRange aw__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor aw__ping__descriptor =
 {
@@ -11669,7 +11695,7 @@
   "Aw__Ping",
   "aw",
   sizeof(Aw__Ping),
-  3,
+  5,
   aw__ping__field_descriptors,
   aw__ping__field_indices_by_name,
   1,  aw__ping__number_ranges,
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -1958,10 +1958,18 @@
    */
   size_t n_controls;
   char **controls;
+  /*
+   * to be returned at once as echoed; 0: nothing
+   */
+  uint64_t echo;
+  /*
+   * echo of the ping that this one replies to
+   */
+  uint64_t echoed;
 };
 #define AW__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__ping__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0 }
 
 
 typedef enum {
--- a/almondward/entry.c
+++ b/almondward/entry.c
@@ -465,7 +465,10 @@
 		.secret_bytes = settings->cluster_secret_bytes,
 		.counters = entry->counters,
 	};
-	struct peer_ops ops = { link_up, link_down, link_frame, link_ping };
+	struct peer_ops ops = { .up = link_up,
+				.down = link_down,
+				.frame = link_frame,
+				.ping = link_ping };
 	size_t i;
 
 	if (peer_node_create(entry->loop, &peer, &ops, entry, &entry->peers))
--- a/almondward/gateway_backend.c
+++ b/almondward/gateway_backend.c
@@ -132,13 +132,18 @@
 	return NULL;
 }
 
+uint32_t gw_connect_timeout_ms(const struct gw *gw)
+{
+	return GW_CONNECT_TIMEOUT_MS + gw_net_delay_ms(gw);
+}
+
 static enum loop_error open_conn(struct gw *gw,
 				 const struct steer_server *server,
 				 struct http_conn **conn)
 {
 	enum loop_error err =
 		http_conn_create(gw->loop, steer_server_address(server),
-				 GW_CONNECT_TIMEOUT_MS, conn);
+				 gw_connect_timeout_ms(gw), conn);
 
 	if (!err)
 		http_conn_set_use(*conn, LOOP_USE_SERVERS);
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -10,6 +10,7 @@
 #include "coord.h"
 #include "counter.h"
 #include "crashes.h"
+#include "delay.h"
 #include "event.h"
 #include "gateway.h"
 #include "gossip.h"
@@ -69,6 +70,7 @@
 /* An established connection to a control instance. */
 struct gw_link {
 	struct peer_link *link;
+	struct delay_path path;
 	struct gw_link *prev, *next;
 };
 
@@ -125,8 +127,23 @@
 	uint64_t next_token;
 };
 
+/* The path to the servers of a region. */
+struct gw_net_path {
+	char region[NAME_BYTES_MAX];
+	struct delay_path path;
+};
+
 /* What the network link carried, and how long messages waited for it. */
 struct gw_net {
+	struct delay delay;
+	struct gw_net_path paths[SET_ZONES_MAX];
+	size_t nr_paths;
+	/* Bytes received and sent, at the beginning of an interval. */
+	uint64_t measured_ms;
+	uint64_t measured_received_bytes;
+	uint64_t measured_sent_bytes;
+	bool is_busy; /* in the last interval */
+	uint64_t probed_ms; /* when the last probe was sent */
 	struct loop_traffic logged[LOOP_USE_COUNT]; /* at the last log line */
 	uint64_t logged_ms;
 	/* New connections to servers of the own region since then. */
@@ -229,6 +246,19 @@
 
 /* ---- gateway_net.c ---- */
 
+/*
+ * Returns the milliseconds that a message waits for the link on its way to
+ * another machine and back, 0 if the link is not busy.
+ */
+uint32_t gw_net_delay_ms(const struct gw *gw);
+/*
+ * Returns the part of gw_net_delay_ms() that messages from others wait before
+ * they are received, or that those to others wait before they are sent.
+ */
+uint32_t gw_net_receive_delay_ms(const struct gw *gw);
+uint32_t gw_net_send_delay_ms(const struct gw *gw);
+/* Records a round trip to a control instance. */
+void gw_net_probed(struct gw *gw, struct gw_link *link, uint32_t round_trip_ms);
 /* Records the time that it took to connect to a server. */
 void gw_net_connected(struct gw *gw, const struct steer_server *server,
 		      uint32_t connect_ms);
@@ -242,6 +272,8 @@
 void gw_link_close(struct gw *gw);
 /* Reports the state of this instance to the leader. */
 void gw_link_announce(struct gw *gw);
+/* Measures the round trip to one of the control instances. */
+void gw_link_probe(struct gw *gw);
 /* Returns whether tokens can be requested from the leader. */
 bool gw_link_can_request_tokens(const struct gw *gw);
 /* Requests tokens within TOKEN_REQUEST_INTERVAL_MS. */
@@ -251,6 +283,8 @@
 
 void gw_on_request(void *arg, struct http_exchange *exchange,
 		   const struct http_request *req);
+/* Returns when the response to a request is due, 0: no limit is known. */
+uint64_t gw_response_due_ms(void *arg, const struct http_request *req);
 /*
  * Returns whether the caller's Connection header lists the header. Such headers
  * apply to the caller's connection only and are not forwarded.
@@ -345,6 +379,12 @@
  */
 #define GW_CONNECT_TIMEOUT_MS 700
 
+/*
+ * Returns GW_CONNECT_TIMEOUT_MS and the time that the packets wait for the own
+ * link: a full link must not be taken for servers that cannot be reached.
+ */
+uint32_t gw_connect_timeout_ms(const struct gw *gw);
+
 /* ---- gateway_reach.c ---- */
 
 /* A connection that is reset within this time, and within the round-trip time
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -413,11 +413,38 @@
 	follow_leader(gw);
 }
 
+static void on_probed(void *arg, struct peer_link *link, uint32_t round_trip_ms)
+{
+	struct gw_link *at;
+	struct gw *gw = arg;
+
+	DL_FOREACH(gw->links, at)
+	{
+		if (at->link == link)
+			gw_net_probed(gw, at, round_trip_ms);
+	}
+}
+
+void gw_link_probe(struct gw *gw)
+{
+	struct gw_link *at = gw->links;
+
+	if (!at)
+		return;
+	/* The next probe takes another link. */
+	DL_DELETE(gw->links, at);
+	DL_APPEND(gw->links, at);
+	if (peer_probe(at->link))
+		gw_count(gw, "send_failed", "probe");
+}
+
 int gw_link_open(struct gw *gw)
 {
-	static const struct peer_ops ops = {
-		.up = on_up, .down = on_down, .frame = on_frame, .ping = on_ping
-	};
+	static const struct peer_ops ops = { .up = on_up,
+					     .down = on_down,
+					     .frame = on_frame,
+					     .ping = on_ping,
+					     .probed = on_probed };
 	struct peer_settings peer = { 0 };
 
 	peer.name = gw->settings->name;
--- a/almondward/gateway_net.c
+++ b/almondward/gateway_net.c
@@ -9,6 +9,8 @@
  */
 
 #define LOG_INTERVAL_MS 1000
+#define MEASURE_INTERVAL_MS 200
+#define PROBE_INTERVAL_MS 100 /* while the link is busy */
 /* Logged above one of these: bytes in either direction in percent of the rate,
  * or time that a message waits. */
 #define BUSY_PERCENT 50
@@ -38,6 +40,9 @@
 	return total;
 }
 
+/*
+ * Returns whether more than BUSY_PERCENT of the rate was used in one direction.
+ */
 static bool is_busy(const struct gw *gw, uint64_t bytes, uint64_t span_ms)
 {
 	return bytes * 8 * 100 >
@@ -59,20 +64,100 @@
 	    net->connect_max_ms < SLOW_MS)
 		return;
 	event_log(EVENT_NET,
-		  "span_ms=%llu in=%llu out=%llu %s%sbacklog_ms=%u "
+		  "span_ms=%llu in=%llu out=%llu %s%sdelay_ms=%u backlog_ms=%u "
 		  "connects=%u connect_min_ms=%u connect_max_ms=%u "
 		  "requests=%zu connections=%zu",
 		  (unsigned long long)span_ms, (unsigned long long)in_bytes,
-		  (unsigned long long)out_bytes, in_text, out_text, backlog_ms,
-		  net->nr_connects, net->connect_min_ms, net->connect_max_ms,
-		  gw->nr_requests, http_server_connections(gw->callers));
+		  (unsigned long long)out_bytes, in_text, out_text,
+		  gw_net_delay_ms(gw), backlog_ms, net->nr_connects,
+		  net->connect_min_ms, net->connect_max_ms, gw->nr_requests,
+		  http_server_connections(gw->callers));
+}
+
+static void get_bytes(const struct gw *gw, uint64_t *received_bytes,
+		      uint64_t *sent_bytes)
+{
+	*received_bytes = 0;
+	*sent_bytes = 0;
+	for (int use = 0; use < LOOP_USE_COUNT; use++) {
+		const struct loop_traffic *traffic =
+			loop_traffic(gw->loop, (enum loop_use)use);
+
+		*received_bytes += traffic->received_bytes;
+		*sent_bytes += traffic->sent_bytes;
+	}
+}
+
+/*
+ * Finds out whether the link was busy in the last interval.
+ */
+static void measure(struct gw *gw, uint64_t now_ms)
+{
+	struct gw_net *net = &gw->net;
+	uint64_t span_ms = now_ms - net->measured_ms, received_bytes,
+		 sent_bytes;
+
+	get_bytes(gw, &received_bytes, &sent_bytes);
+	net->is_busy =
+		gw->settings->cluster.bounds.link_kbit_per_s &&
+		(is_busy(gw, received_bytes - net->measured_received_bytes,
+			 span_ms) ||
+		 is_busy(gw, sent_bytes - net->measured_sent_bytes, span_ms));
+	net->measured_ms = now_ms;
+	net->measured_received_bytes = received_bytes;
+	net->measured_sent_bytes = sent_bytes;
+}
+
+uint32_t gw_net_delay_ms(const struct gw *gw)
+{
+	return gw->net.is_busy ? delay_ms(&gw->net.delay, gw_now_ms(gw)) : 0;
+}
+
+/*
+ * What this instance sends is known, so the rest of the delay is that of what
+ * it receives.
+ */
+uint32_t gw_net_send_delay_ms(const struct gw *gw)
+{
+	uint32_t backlog_ms = loop_backlog_ms(gw->loop);
+	uint32_t both_ms = gw_net_delay_ms(gw);
+
+	return backlog_ms < both_ms ? backlog_ms : both_ms;
+}
+
+uint32_t gw_net_receive_delay_ms(const struct gw *gw)
+{
+	return gw_net_delay_ms(gw) - gw_net_send_delay_ms(gw);
+}
+
+void gw_net_probed(struct gw *gw, struct gw_link *link, uint32_t round_trip_ms)
+{
+	delay_add(&gw->net.delay, &link->path, round_trip_ms, gw_now_ms(gw));
+}
+
+static struct delay_path *find_path(struct gw_net *net, const char *region)
+{
+	struct gw_net_path *at;
+
+	for (size_t i = 0; i < net->nr_paths; i++)
+		if (!strcmp(net->paths[i].region, region))
+			return &net->paths[i].path;
+	if (net->nr_paths == SET_ZONES_MAX)
+		return NULL;
+	at = &net->paths[net->nr_paths++];
+	snprintf(at->region, sizeof(at->region), "%s", region);
+	return &at->path;
 }
 
 void gw_net_connected(struct gw *gw, const struct steer_server *server,
 		      uint32_t connect_ms)
 {
+	struct delay_path *path =
+		find_path(&gw->net, steer_server_region(server));
 	struct gw_net *net = &gw->net;
 
+	if (path)
+		delay_add(&net->delay, path, connect_ms, gw_now_ms(gw));
 	if (strcmp(steer_server_region(server), gw->settings->cluster.region) !=
 	    0)
 		return;
@@ -87,6 +172,12 @@
 	struct gw_net *net = &gw->net;
 	uint64_t now_ms = gw_now_ms(gw);
 
+	if (now_ms >= net->measured_ms + MEASURE_INTERVAL_MS)
+		measure(gw, now_ms);
+	if (net->is_busy && now_ms >= net->probed_ms + PROBE_INTERVAL_MS) {
+		net->probed_ms = now_ms;
+		gw_link_probe(gw);
+	}
 	if (now_ms < net->logged_ms + LOG_INTERVAL_MS)
 		return;
 	if (net->logged_ms && gw->settings->cluster.bounds.link_kbit_per_s)
--- a/almondward/gateway_reach.c
+++ b/almondward/gateway_reach.c
@@ -121,7 +121,7 @@
 	struct gw_reach_probe *probe = find_unused(reach);
 	struct choice choice = { .gw = gw };
 	const struct steer_server *server;
-	uint32_t timeout_ms = GW_CONNECT_TIMEOUT_MS;
+	uint32_t timeout_ms = gw_connect_timeout_ms(gw);
 
 	topo_each(gw->topo, consider, &choice);
 	reach_probe_begin(reach->reach);
--- a/almondward/gateway_relay.c
+++ b/almondward/gateway_relay.c
@@ -301,8 +301,9 @@
 	};
 	struct http_conn *conn = take_idle(gw, peer);
 
-	if (!conn && http_conn_create(gw->loop, peer->address,
-				      CONNECT_TIMEOUT_MS, &conn))
+	if (!conn &&
+	    http_conn_create(gw->loop, peer->address,
+			     CONNECT_TIMEOUT_MS + gw_net_delay_ms(gw), &conn))
 		return false;
 	http_conn_set_use(conn, LOOP_USE_RELAYS);
 	if (http_conn_call(conn, &call)) {
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -1863,22 +1863,47 @@
 	return hash_add(hash_add(hash, route->path_prefix), object);
 }
 
+/*
+ * Returns the time when the caller sent the request, by estimate: the link may
+ * have delayed the head and, on a new connection, the packets that established
+ * it.
+ */
+static uint64_t sent_ms(const struct gw *gw, const struct http_request *req)
+{
+	uint64_t delay_ms = gw_net_receive_delay_ms(gw);
+
+	if (req->is_first)
+		delay_ms += gw_net_delay_ms(gw);
+	return delay_ms < req->head_ms ? req->head_ms - delay_ms : 0;
+}
+
+/*
+ * Returns when the response to a request is due that the caller sent at
+ * start_ms. It must be received before the caller gives up, and before the time
+ * limit of the route.
+ */
+static uint64_t response_due_ms(const struct gw *gw, uint64_t start_ms,
+				const struct svc_request *parsed,
+				const Aw__PlanRoute *route)
+{
+	uint64_t delivery_ms = RESPONSE_DELIVERY_MS + gw_net_send_delay_ms(gw);
+	uint64_t limit_ms = TIME_LIMIT_MAX_MS;
+
+	if (parsed->has_deadline && parsed->deadline_ms < limit_ms)
+		limit_ms = parsed->deadline_ms;
+	if (route->timeout_ms && route->timeout_ms < limit_ms)
+		limit_ms = route->timeout_ms;
+	return limit_ms > delivery_ms ? start_ms + limit_ms - delivery_ms :
+					start_ms;
+}
+
 static void set_time_limits(struct gw_request *request,
 			    const Aw__PlanRoute *route)
 {
 	uint64_t start_ms = request->start_ms;
 
-	request->deadline_ms = start_ms + TIME_LIMIT_MAX_MS;
-	if (request->parsed.has_deadline)
-		request->deadline_ms =
-			start_ms +
-			(request->parsed.deadline_ms > RESPONSE_DELIVERY_MS ?
-				 request->parsed.deadline_ms -
-					 RESPONSE_DELIVERY_MS :
-				 0);
-	if (route->timeout_ms &&
-	    request->deadline_ms > start_ms + route->timeout_ms)
-		request->deadline_ms = start_ms + route->timeout_ms;
+	request->deadline_ms =
+		response_due_ms(request->gw, start_ms, &request->parsed, route);
 	request->target_ms = route->target_latency_ms ?
 				     start_ms + route->target_latency_ms :
 				     request->deadline_ms;
@@ -1954,7 +1979,7 @@
 	request->gw = gw;
 	request->exchange = exchange;
 	request->req = req;
-	request->start_ms = req->head_ms;
+	request->start_ms = sent_ms(gw, req);
 	request->deadline_ms = req->head_ms;
 	request->plan_version = plan_version(gw->plan);
 	request->slot.request = request;
@@ -2137,13 +2162,35 @@
 		start_forwarding(request);
 }
 
+static const Aw__PlanRoute *find_route(const struct gw *gw,
+				       const struct http_request *req)
+{
+	const char *host =
+		http_header_value(req->headers, req->nr_headers, "Host");
+
+	return plan_route(gw->plan, host ? host : "", req->target);
+}
+
+uint64_t gw_response_due_ms(void *arg, const struct http_request *req)
+{
+	const struct gw *gw = arg;
+	const Aw__PlanRoute *route;
+	struct svc_request parsed;
+
+	if (!plan_version(gw->plan))
+		return 0;
+	route = find_route(gw, req);
+	if (!route)
+		return 0;
+	gw->adapter->read_request(req, &parsed);
+	return response_due_ms(gw, sent_ms(gw, req), &parsed, route);
+}
+
 void gw_on_request(void *arg, struct http_exchange *exchange,
 		   const struct http_request *req)
 {
 	struct gw *gw = arg;
 	struct gw_request *request = request_create(gw, exchange, req);
-	const char *host =
-		http_header_value(req->headers, req->nr_headers, "Host");
 	const Aw__PlanRoute *route;
 
 	if (!request) {
@@ -2155,7 +2202,7 @@
 		refuse(request, REFUSAL_NO_LEASE, RETRY_AFTER_MS);
 		return;
 	}
-	route = plan_route(gw->plan, host ? host : "", req->target);
+	route = find_route(gw, req);
 	if (route)
 		admit(request, route);
 	else
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -36,6 +36,7 @@
 	size_t body_bytes;
 	const char *peer; /* "IP:port" of the client */
 	uint64_t head_ms; /* time when the head was complete */
+	bool is_first; /* on its connection */
 };
 
 struct http_response {
@@ -68,6 +69,12 @@
 	uint32_t idle_timeout_ms;
 	uint32_t head_timeout_ms;
 	uint32_t body_timeout_ms; /* without progress of a body or response */
+	/*
+	 * Returns when the response to a request is due at the latest, 0: no
+	 * limit; arg is that of the handler. A request whose body is not
+	 * complete by then is refused. May be NULL.
+	 */
+	uint64_t (*response_due_ms)(void *arg, const struct http_request *req);
 	struct ctr_set *counters; /* may be NULL */
 	enum loop_use use; /* of the connections */
 	/*
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -46,6 +46,8 @@
 	struct buf pipelined; /* received after the current request */
 	size_t queued_bytes; /* of the response, at the last progress check */
 	uint64_t idle_start_ms; /* in SERVER_IDLE */
+	uint64_t response_due_ms; /* of the current request, 0: no limit */
+	bool has_had_request; /* a head was complete */
 	bool close; /* after the response */
 	bool resume; /* the timer will process pipelined bytes */
 	bool in_process; /* process() is running; it frees dead connections */
@@ -409,6 +411,39 @@
 	req->nr_headers = msg->nr_headers;
 	req->peer = loop_conn_peer(conn->loop_conn);
 	req->head_ms = clk_now_ms(loop_clock(conn->server->loop));
+	req->is_first = !conn->has_had_request;
+	conn->has_had_request = true;
+	conn->response_due_ms = conn->server->settings.response_due_ms ?
+					conn->server->settings.response_due_ms(
+						conn->server->arg, req) :
+					0;
+}
+
+static bool is_response_due(const struct server_conn *conn)
+{
+	return conn->response_due_ms &&
+	       clk_now_ms(loop_clock(conn->server->loop)) >=
+		       conn->response_due_ms;
+}
+
+/*
+ * Limits the time until more of the body is received, and until the response is
+ * due: the handler gets the request only when its body is complete.
+ */
+static void set_body_timer(struct server_conn *conn)
+{
+	uint64_t now_ms = clk_now_ms(loop_clock(conn->server->loop));
+	uint32_t timeout_ms = conn->server->settings.body_timeout_ms;
+	uint64_t left_ms;
+
+	if (conn->response_due_ms) {
+		left_ms = conn->response_due_ms > now_ms ?
+				  conn->response_due_ms - now_ms :
+				  1;
+		if (!timeout_ms || left_ms < timeout_ms)
+			timeout_ms = (uint32_t)left_ms;
+	}
+	set_timer(conn, timeout_ms);
 }
 
 /*
@@ -449,7 +484,7 @@
 		loop_conn_send(conn->loop_conn, continue_response,
 			       sizeof(continue_response) - 1);
 	conn->state = SERVER_BODY;
-	set_timer(conn, conn->server->settings.body_timeout_ms);
+	set_body_timer(conn);
 	return true;
 }
 
@@ -512,7 +547,7 @@
 				  len_bytes - used_bytes, &rest_bytes);
 		used_bytes += rest_bytes;
 	} else if (conn->state == SERVER_BODY) {
-		set_timer(conn, conn->server->settings.body_timeout_ms);
+		set_body_timer(conn);
 	}
 	conn->more_bytes = used_bytes < len_bytes;
 	if (status == MSG_DONE)
@@ -619,7 +654,12 @@
 		refuse(conn, REFUSAL_BAD_REQUEST, "head came too slowly");
 		return;
 	case SERVER_BODY:
-		refuse(conn, REFUSAL_BAD_REQUEST, "body came too slowly");
+		if (is_response_due(conn))
+			refuse(conn, REFUSAL_QUEUE_TIMEOUT,
+			       "time is up before the body is complete");
+		else
+			refuse(conn, REFUSAL_BAD_REQUEST,
+			       "body came too slowly");
 		return;
 	case SERVER_WRITING:
 		queued_bytes = loop_conn_queued_bytes(conn->loop_conn);
--- a/almondward/peer.c
+++ b/almondward/peer.c
@@ -201,13 +201,19 @@
 	return send_frame(link, frame);
 }
 
-static enum loop_error send_ping(struct peer_link *link)
+/*
+ * echo and echoed are those of the message, usually 0.
+ */
+static enum loop_error send_ping_with(struct peer_link *link, uint64_t echo,
+				      uint64_t echoed)
 {
 	Aw__Ping ping = AW__PING__INIT;
 	Aw__Frame frame = AW__FRAME__INIT;
 
 	ping.leader = link->node->leader;
 	ping.term = link->node->term;
+	ping.echo = echo;
+	ping.echoed = echoed;
 	if (link->nr_pings++ % PINGS_PER_CONTROLS_LIST == 0 ||
 	    link->sent_controls_version != link->node->controls_version) {
 		ping.controls = link->node->controls;
@@ -219,6 +225,18 @@
 	return send_frame(link, &frame);
 }
 
+static enum loop_error send_ping(struct peer_link *link)
+{
+	return send_ping_with(link, 0, 0);
+}
+
+enum loop_error peer_probe(struct peer_link *link)
+{
+	if (link->dead || link->state != LINK_UP)
+		return LOOP_ERR_CLOSED;
+	return send_ping_with(link, now_ms(link->node), 0);
+}
+
 static int send_hello(struct peer_link *link)
 {
 	struct peer_node *node = link->node;
@@ -368,6 +386,20 @@
 	node->ops.up(node->arg, link);
 }
 
+static void on_ping(struct peer_link *link, const Aw__Ping *ping)
+{
+	struct peer_node *node = link->node;
+	uint64_t now = now_ms(node);
+
+	if (ping->echo)
+		send_ping_with(link, 0, ping->echo);
+	if (ping->echoed && ping->echoed <= now && node->ops.probed)
+		node->ops.probed(node->arg, link,
+				 (uint32_t)(now - ping->echoed));
+	if (!link->dead && node->ops.ping)
+		node->ops.ping(node->arg, link, ping);
+}
+
 static void on_session_frame(struct peer_link *link, const uint8_t *body,
 			     size_t len_bytes)
 {
@@ -383,8 +415,7 @@
 	if (link->state == LINK_AUTHENTICATING)
 		link_up(link);
 	if (!link->dead && frame->body_case == AW__FRAME__BODY_PING) {
-		if (node->ops.ping)
-			node->ops.ping(node->arg, link, frame->ping);
+		on_ping(link, frame->ping);
 	} else if (!link->dead &&
 		   frame->body_case != AW__FRAME__BODY__NOT_SET) {
 		node->ops.frame(node->arg, link, frame);
--- a/almondward/peer.h
+++ b/almondward/peer.h
@@ -44,6 +44,9 @@
 		      const Aw__Frame *frame);
 	/* A ping with the leader that the other instance knows. May be NULL. */
 	void (*ping)(void *arg, struct peer_link *link, const Aw__Ping *ping);
+	/* The reply to peer_probe(). May be NULL. */
+	void (*probed)(void *arg, struct peer_link *link,
+		       uint32_t round_trip_ms);
 };
 
 enum loop_error peer_node_create(struct loop *loop,
@@ -90,6 +93,13 @@
  */
 enum loop_error peer_send(struct peer_link *link, const Aw__Frame *frame);
 
+/*
+ * Sends a ping that the other instance replies to at once; the time until the
+ * reply is passed to ops->probed. An instance of an earlier version does not
+ * reply. Returns as peer_send().
+ */
+enum loop_error peer_probe(struct peer_link *link);
+
 const char *peer_link_name(const struct peer_link *link);
 Aw__Role peer_link_role(const struct peer_link *link);
 const char *peer_link_zone(const struct peer_link *link);
