gateway: Measure the wait by round trips to control instances alone

The time to connect to a server is no measure of the link: with the link a third used, connections of honam took 400 to 1,300 ms, since busy servers accept late. Control instances reply at once.

--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -127,17 +127,9 @@
 	uint64_t next_token;
 };
 
-/* The path to the servers of a region. */
-struct gw_net_path {
-	char region[NAME_BYTES_MAX];
-	struct delay_path path;
-};
-
 /* What the network link carried, and how long messages waited for it. */
 struct gw_net {
 	struct delay delay;
-	struct gw_net_path paths[SET_ZONES_MAX];
-	size_t nr_paths;
 	/* Bytes received and sent, at the beginning of an interval. */
 	uint64_t measured_ms;
 	uint64_t measured_received_bytes;
--- a/almondward/gateway_net.c
+++ b/almondward/gateway_net.c
@@ -135,29 +135,11 @@
 	delay_add(&gw->net.delay, &link->path, round_trip_ms, gw_now_ms(gw));
 }
 
-static struct delay_path *find_path(struct gw_net *net, const char *region)
-{
-	struct gw_net_path *at;
-
-	for (size_t i = 0; i < net->nr_paths; i++)
-		if (!strcmp(net->paths[i].region, region))
-			return &net->paths[i].path;
-	if (net->nr_paths == SET_ZONES_MAX)
-		return NULL;
-	at = &net->paths[net->nr_paths++];
-	snprintf(at->region, sizeof(at->region), "%s", region);
-	return &at->path;
-}
-
 void gw_net_connected(struct gw *gw, const struct steer_server *server,
 		      uint32_t connect_ms)
 {
-	struct delay_path *path =
-		find_path(&gw->net, steer_server_region(server));
 	struct gw_net *net = &gw->net;
 
-	if (path)
-		delay_add(&net->delay, path, connect_ms, gw_now_ms(gw));
 	if (strcmp(steer_server_region(server), gw->settings->cluster.region) !=
 	    0)
 		return;
