--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -249,9 +249,9 @@
 		EVENT_REQUEST,
 		"id=%s customer=%s route=%s upstream=%s object=%llx status=%u outcome=%s "
 		"rule=%s verdict=%s server=%s server_zone=%s took_ms=%llu sent_ms=%lld "
-		"body_ms=%u tries=%u not_run=%u expected_ms=%u wait_ms=%u load=%u/%u "
+		"body=%zu body_ms=%u tries=%u not_run=%u expected_ms=%u wait_ms=%u load=%u/%u "
 		"load_age_ms=%llu place=%d moved=%s limit_per_s=%s left_ms=%lld plan=%llu "
-		"plan_age_ms=%llu relayed=%s via=%s",
+		"plan_age_ms=%llu relayed=%s via=%s link_ms=%llu",
 		id_text(request, id), request->customer, request->route,
 		request->upstream, (unsigned long long)request->query.object,
 		status, outcome, rule, steer_verdict_name(choice->verdict),
@@ -260,15 +260,18 @@
 		request->first_sent_ms ? (long long)(request->first_sent_ms -
 						     request->start_ms) :
 					 -1LL,
-		request->body_ms, request->nr_maybe_run, request->nr_not_run,
-		choice->expected_ms, choice->wait_ms, choice->load,
-		choice->slots, (unsigned long long)choice->load_age_ms,
-		choice->rank, choice->other_region ? "true" : "false",
-		request->limit_text, (long long)(request->deadline_ms - now_ms),
+		request->req->body_bytes, request->body_ms,
+		request->nr_maybe_run, request->nr_not_run, choice->expected_ms,
+		choice->wait_ms, choice->load, choice->slots,
+		(unsigned long long)choice->load_age_ms, choice->rank,
+		choice->other_region ? "true" : "false", request->limit_text,
+		(long long)(request->deadline_ms - now_ms),
 		(unsigned long long)request->plan_version,
 		(unsigned long long)(now_ms - request->gw->plan_confirmed_ms),
 		request->was_relayed ? "true" : "false",
-		*request->relay.via ? request->relay.via : "-");
+		*request->relay.via ? request->relay.via : "-",
+		(unsigned long long)(request->req->head_ms -
+				     request->start_ms));
 }
 
 static void refuse_exchange(struct gw *gw, struct http_exchange *exchange,
