directory: Name instances of other regions beside full links

Look-ups named the 10 instances that were left in a region although their links were full, while instances of another region had half of theirs free. An instance now reports a full link, and look-ups name as many others with room.

--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -8486,7 +8486,7 @@
   (ProtobufCMessageInit) aw__raft_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__instance__field_descriptors[5] =
+static const ProtobufCFieldDescriptor aw__instance__field_descriptors[6] =
 {
   {
     "name",
@@ -8548,9 +8548,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_full",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Aw__Instance, link_full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__instance__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  5,   /* field[5] = link_full */
   0,   /* field[0] = name */
   4,   /* field[4] = servers_unreachable */
   3,   /* field[3] = state */
@@ -8559,7 +8572,7 @@
 static const ProtobufCIntRange aw__instance__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor aw__instance__descriptor =
 {
@@ -8569,7 +8582,7 @@
   "Aw__Instance",
   "aw",
   sizeof(Aw__Instance),
-  5,
+  6,
   aw__instance__field_descriptors,
   aw__instance__field_indices_by_name,
   1,  aw__instance__number_ranges,
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -1187,10 +1187,14 @@
    * Reaches no backend server; look-ups omit it.
    */
   protobuf_c_boolean servers_unreachable;
+  /*
+   * Messages wait long for its network link.
+   */
+  protobuf_c_boolean link_full;
 };
 #define AW__INSTANCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__instance__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, AW__INSTANCE_STATE__INSTANCE_ACTIVE, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, AW__INSTANCE_STATE__INSTANCE_ACTIVE, 0, 0 }
 
 
 struct  Aw__Server
--- a/almondward/directory.c
+++ b/almondward/directory.c
@@ -3,6 +3,8 @@
 #include <stdbool.h>
 #include <string.h>
 
+#include "hash.h"
+
 /* How far from a location an instance may be. */
 enum distance { DISTANCE_ZONE, DISTANCE_REGION, DISTANCE_ANY };
 
@@ -62,6 +64,33 @@
 	return DISTANCE_REGION;
 }
 
+/*
+ * Adds instances of other regions with room on their links, as many as there
+ * are full ones among those that were chosen. Callers choose at random, so this
+ * halves the traffic of a region whose links are all full.
+ */
+static size_t add_others(const struct location *location,
+			 const Aw__Instance *const *instances,
+			 size_t nr_instances, size_t nr_full, size_t nr,
+			 const char *addresses[DIR_ADDRESSES_MAX])
+{
+	size_t start = nr_instances ? hash_text(location->zone) % nr_instances :
+				      0;
+
+	for (size_t i = 0; i < nr_instances && nr_full; i++) {
+		const Aw__Instance *at = instances[(start + i) % nr_instances];
+
+		if (nr == DIR_ADDRESSES_MAX)
+			break;
+		if (at->link_full || !is_within(location, DISTANCE_ANY, at) ||
+		    is_within(location, DISTANCE_REGION, at))
+			continue;
+		addresses[nr++] = at->address;
+		nr_full--;
+	}
+	return nr;
+}
+
 size_t dir_choose_instances(const struct set_cluster *cluster,
 			    const Aw__Instance *const *instances,
 			    size_t nr_instances, const char *zone,
@@ -70,17 +99,23 @@
 {
 	struct location location = { cluster, zone, region, false };
 	enum distance distance;
-	size_t i, nr = 0;
+	size_t i, nr = 0, nr_full = 0;
 
 	if (!*region)
 		location.region = set_region(cluster, zone);
 	location.any_reach =
 		!count_within(&location, DISTANCE_ANY, instances, nr_instances);
 	distance = choose_distance(&location, instances, nr_instances);
-	for (i = 0; i < nr_instances && nr < DIR_ADDRESSES_MAX; i++)
-		if (is_within(&location, distance, instances[i]))
-			addresses[nr++] = instances[i]->address;
-	return nr;
+	for (i = 0; i < nr_instances && nr < DIR_ADDRESSES_MAX; i++) {
+		if (!is_within(&location, distance, instances[i]))
+			continue;
+		addresses[nr++] = instances[i]->address;
+		nr_full += instances[i]->link_full;
+	}
+	if (distance == DISTANCE_ANY)
+		return nr;
+	return add_others(&location, instances, nr_instances, nr_full, nr,
+			  addresses);
 }
 
 size_t dir_choose_control(const struct set_cluster *cluster,
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -136,6 +136,8 @@
 	uint64_t measured_sent_bytes;
 	bool is_busy; /* in the last interval */
 	uint64_t probed_ms; /* when the last probe was sent */
+	bool is_full; /* as reported to the leader */
+	uint64_t delayed_ms; /* when messages last waited long */
 	struct loop_traffic logged[LOOP_USE_COUNT]; /* at the last log line */
 	uint64_t logged_ms;
 	/* New connections to servers of the own region since then. */
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -86,6 +86,7 @@
 				  AW__INSTANCE_STATE__INSTANCE_LEAVING :
 				  AW__INSTANCE_STATE__INSTANCE_ACTIVE;
 	instance->servers_unreachable = reach_state(gw_reach(gw)) != REACH_OK;
+	instance->link_full = gw->net.is_full;
 }
 
 static void subscribe(struct gw *gw, struct peer_link *link)
--- a/almondward/gateway_net.c
+++ b/almondward/gateway_net.c
@@ -10,6 +10,11 @@
 
 #define LOG_INTERVAL_MS 1000
 #define MEASURE_INTERVAL_MS 200
+/* The link counts as full from a wait of FULL_MS on, until messages have waited
+ * less than FULL_END_MS for FULL_MIN_MS. */
+#define FULL_MS 200
+#define FULL_END_MS 100
+#define FULL_MIN_MS 2000
 #define PROBE_INTERVAL_MS 100 /* while the link is busy */
 /* Logged above one of these: bytes in either direction in percent of the rate,
  * or time that a message waits. */
@@ -135,6 +140,28 @@
 	delay_add(&gw->net.delay, &link->path, round_trip_ms, gw_now_ms(gw));
 }
 
+/*
+ * Reports to the leader when the link becomes full, and when it has had room
+ * for some time.
+ */
+static void update_full(struct gw *gw, uint64_t now_ms)
+{
+	uint32_t delay_ms = gw_net_delay_ms(gw);
+	struct gw_net *net = &gw->net;
+	bool was_full = net->is_full;
+
+	if (delay_ms >= (was_full ? FULL_END_MS : FULL_MS)) {
+		net->delayed_ms = now_ms;
+		net->is_full = true;
+	}
+	if (was_full && now_ms >= net->delayed_ms + FULL_MIN_MS)
+		net->is_full = false;
+	if (net->is_full == was_full)
+		return;
+	gw_count(gw, "link_changes", net->is_full ? "full" : "free");
+	gw_link_announce(gw);
+}
+
 void gw_net_connected(struct gw *gw, const struct steer_server *server,
 		      uint32_t connect_ms)
 {
@@ -160,6 +187,7 @@
 		net->probed_ms = now_ms;
 		gw_link_probe(gw);
 	}
+	update_full(gw, now_ms);
 	if (now_ms < net->logged_ms + LOG_INTERVAL_MS)
 		return;
 	if (net->logged_ms && gw->settings->cluster.bounds.link_kbit_per_s)
--- a/almondward/topo.c
+++ b/almondward/topo.c
@@ -449,6 +449,7 @@
 	    !known->link_lost_ms && known->message->state == instance->state &&
 	    known->message->servers_unreachable ==
 		    instance->servers_unreachable &&
+	    known->message->link_full == instance->link_full &&
 	    !strcmp(known->message->address, instance->address))
 		return 0;
 	copy = message_copy(&instance->base);
