gateway: Wait for tokens as much longer as the link delays the reply

With a full link the leader's reply came after the 250 ms that a request waits for a token, so requests of customers within their rate got 429: 1,218 in two seconds beside 789 that were served.

--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -2045,10 +2045,19 @@
 	       wait_ms < RETRY_AFTER_MS ? RETRY_AFTER_MS : wait_ms);
 }
 
+/*
+ * Returns the time for which a request waits for a token: the query and the
+ * reply also wait for the link of this instance.
+ */
+static uint32_t token_wait_ms(const struct gw *gw)
+{
+	return TOKEN_WAIT_MS + gw_net_delay_ms(gw);
+}
+
 /*
  * The share of this instance is used up, but the leader may have a token left.
  * At most as many requests of a customer wait as its rate admits within
- * TOKEN_WAIT_MS.
+ * token_wait_ms().
  */
 static void wait_for_token(struct gw_request *request, uint32_t wait_ms)
 {
@@ -2062,7 +2071,7 @@
 		return;
 	}
 	max_waiting = (uint64_t)customer->bucket.customer_rate_milli *
-			      TOKEN_WAIT_MS / 1000000 +
+			      token_wait_ms(gw) / 1000000 +
 		      1;
 	if (!gw_link_can_request_tokens(gw)) {
 		if (share_bucket_take_if_idle(&customer->bucket, gw_now_ms(gw)))
@@ -2103,8 +2112,8 @@
 static void expire_token_waits(struct gw *gw, struct gw_customer *customer)
 {
 	while (customer->waiting &&
-	       gw_now_ms(gw) >=
-		       customer->waiting->token_wait_start_ms + TOKEN_WAIT_MS) {
+	       gw_now_ms(gw) >= customer->waiting->token_wait_start_ms +
+					token_wait_ms(gw)) {
 		struct gw_request *request = customer->waiting;
 
 		stop_token_wait(request);
