gateway, http: Refuse large bodies that the link cannot carry in time

A large body waited for its turn on the link until its time was up, and only then was refused. It is refused at once now, before its body is received if the length is known. Servers get no time that the response needs to pass the link.

--- a/almondward/gateway.c
+++ b/almondward/gateway.c
@@ -258,8 +258,7 @@
 		.idle_timeout_ms = GW_IDLE_TIMEOUT_MS,
 		.head_timeout_ms = HEAD_TIMEOUT_MS,
 		.body_timeout_ms = BODY_TIMEOUT_MS,
-		.response_due_ms =
-			handler == gw_on_request ? gw_response_due_ms : NULL,
+		.check_head = handler == gw_on_request ? gw_check_head : NULL,
 		.counters = gw->counters,
 	};
 
--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -277,8 +277,9 @@
 
 void gw_on_request(void *arg, struct http_exchange *exchange,
 		   const struct http_request *req);
-/* Returns when the response to a request is due, 0: no limit is known. */
-uint64_t gw_response_due_ms(void *arg, const struct http_request *req);
+/* See check_head of struct http_server_settings. */
+void gw_check_head(void *arg, const struct http_request *req,
+		   uint64_t body_bytes, struct http_head_check *check);
 /*
  * Returns whether the caller's Connection header lists the header. Such headers
  * apply to the caller's connection only and are not forwarded.
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -464,14 +464,52 @@
 	send_next_large(request->gw);
 }
 
-static bool is_large(const struct gw_request *request)
+static bool is_large_body(const struct gw *gw, uint64_t body_bytes)
 {
-	const struct gw *gw = request->gw;
-
 	return gw->settings->cluster.bounds.link_kbit_per_s &&
 	       gw->settings->cluster.bounds.link_kbit_per_s <=
 		       SLOW_LINK_KBIT_PER_S &&
-	       request->req->body_bytes > PACE_LARGE_BYTES;
+	       body_bytes > PACE_LARGE_BYTES;
+}
+
+static bool is_large(const struct gw_request *request)
+{
+	return is_large_body(request->gw, request->req->body_bytes);
+}
+
+/*
+ * Returns the milliseconds that the link needs for these bytes, if it carries
+ * nothing else.
+ */
+static uint64_t link_ms(const struct gw *gw, uint64_t bytes)
+{
+	/* 1 kbit/s is an eighth of a byte per ms. */
+	return bytes * 8 / gw->settings->cluster.bounds.link_kbit_per_s;
+}
+
+/*
+ * Returns the milliseconds that the link needs at least for the large bodies
+ * that wait for it.
+ */
+static uint64_t large_wait_ms(const struct gw *gw)
+{
+	const struct gw_request *request;
+	uint64_t bytes = 0;
+
+	for (request = gw->large_waiting; request;
+	     request = request->large_next)
+		bytes += request->req->body_bytes;
+	return link_ms(gw, bytes);
+}
+
+/*
+ * When half of the bodies that wait now are sent, a returning caller finds room.
+ */
+static uint32_t large_retry_after_ms(const struct gw *gw)
+{
+	uint64_t wait_ms = large_wait_ms(gw) / 2;
+
+	return wait_ms > RETRY_AFTER_MS ? (uint32_t)wait_ms : RETRY_AFTER_MS;
 }
 
 bool gw_is_named_by_connection(const struct http_request *req, const char *name)
@@ -1340,6 +1378,17 @@
 			NULL);
 }
 
+/*
+ * Returns how long the server may work: its response has to pass the link of
+ * this instance before the time is up.
+ */
+static uint32_t server_left_ms(const struct gw *gw, uint32_t left_ms)
+{
+	uint32_t delay_ms = gw_net_receive_delay_ms(gw);
+
+	return delay_ms < left_ms ? left_ms - delay_ms : 1;
+}
+
 static bool send_call(struct gw_request *request, uint32_t left_ms)
 {
 	const struct http_request *req = request->req;
@@ -1349,7 +1398,7 @@
 	struct svc_forward forward_info = {
 		.server_id = steer_server_id(server),
 		.customer = *request->customer ? request->customer : NULL,
-		.left_ms = left_ms,
+		.left_ms = server_left_ms(request->gw, left_ms),
 	};
 	struct http_call call = {
 		.method = req->method,
@@ -2034,6 +2083,13 @@
 		forward(request);
 		return;
 	}
+	if (gw_now_ms(request->gw) + large_wait_ms(request->gw) +
+		    link_ms(request->gw, request->req->body_bytes) >=
+	    request->deadline_ms) {
+		refuse(request, REFUSAL_QUEUE_FULL,
+		       large_retry_after_ms(request->gw));
+		return;
+	}
 	request->waits_for_link = true;
 	DL_APPEND2(request->gw->large_waiting, request, large_prev, large_next);
 	gw_count(request->gw, "link_waits", "");
@@ -2183,19 +2239,46 @@
 	return plan_route(gw->plan, host ? host : "", req->target);
 }
 
-uint64_t gw_response_due_ms(void *arg, const struct http_request *req)
+static void log_large_refusal(struct gw *gw, const struct svc_request *parsed,
+			      const Aw__PlanRoute *route, uint64_t body_bytes,
+			      const struct http_head_check *check)
+{
+	char id[EVENT_TEXT_BYTES];
+
+	gw_count(gw, "refusals", refusal_name(check->refusal));
+	event_log(EVENT_REQUEST,
+		  "id=%s route=%s status=%u outcome=%s rule=%s body=%llu "
+		  "wait_ms=%llu left_ms=%lld",
+		  event_quote(parsed->id, id), route->name,
+		  refusal_status(check->refusal), refusal_name(check->refusal),
+		  reasons[check->refusal].rule, (unsigned long long)body_bytes,
+		  (unsigned long long)large_wait_ms(gw),
+		  (long long)(check->response_due_ms - gw_now_ms(gw)));
+}
+
+void gw_check_head(void *arg, const struct http_request *req,
+		   uint64_t body_bytes, struct http_head_check *check)
 {
-	const struct gw *gw = arg;
 	const Aw__PlanRoute *route;
 	struct svc_request parsed;
+	struct gw *gw = arg;
 
 	if (!plan_version(gw->plan))
-		return 0;
+		return;
 	route = find_route(gw, req);
 	if (!route)
-		return 0;
+		return;
 	gw->adapter->read_request(req, &parsed);
-	return response_due_ms(gw, sent_ms(gw, req), &parsed, route);
+	check->response_due_ms =
+		response_due_ms(gw, sent_ms(gw, req), &parsed, route);
+	/* The link carries the body once in each direction. */
+	if (!is_large_body(gw, body_bytes) ||
+	    gw_now_ms(gw) + large_wait_ms(gw) + 2 * link_ms(gw, body_bytes) <
+		    check->response_due_ms)
+		return;
+	check->refusal = REFUSAL_QUEUE_FULL;
+	check->retry_after_ms = large_retry_after_ms(gw);
+	log_large_refusal(gw, &parsed, route, body_bytes, check);
 }
 
 void gw_on_request(void *arg, struct http_exchange *exchange,
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -60,6 +60,17 @@
 struct http_server;
 struct http_exchange; /* a request and its pending response */
 
+/* Result of a check_head function, initially all 0. */
+struct http_head_check {
+	enum refusal refusal; /* REFUSAL_NONE: receive the body */
+	uint32_t retry_after_ms;
+	/*
+	 * When the response is due at the latest, 0: no limit. A request whose
+	 * body is not complete by then is refused.
+	 */
+	uint64_t response_due_ms;
+};
+
 struct http_server_settings {
 	const char *address; /* "IP:port" */
 	size_t body_max_bytes;
@@ -70,11 +81,13 @@
 	uint32_t head_timeout_ms;
 	uint32_t body_timeout_ms; /* without progress of a body or response */
 	/*
-	 * Returns when the response to a request is due at the latest, 0: no
-	 * limit; arg is that of the handler. A request whose body is not
-	 * complete by then is refused. May be NULL.
+	 * Called with a complete head, before its body is received; req has no
+	 * body yet, and arg is that of the handler. body_bytes is its length, 0
+	 * if that is not known. If check->refusal is set, the request is
+	 * refused without receiving the body. May be NULL.
 	 */
-	uint64_t (*response_due_ms)(void *arg, const struct http_request *req);
+	void (*check_head)(void *arg, const struct http_request *req,
+			   uint64_t body_bytes, struct http_head_check *check);
 	struct ctr_set *counters; /* may be NULL */
 	enum loop_use use; /* of the connections */
 	/*
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -1,5 +1,6 @@
 #include "http_private.h"
 
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -348,8 +349,8 @@
  * connection: the bytes that follow cannot be distinguished from the rest of
  * the refused request.
  */
-static void refuse(struct server_conn *conn, enum refusal refusal,
-		   const char *detail)
+static void refuse_with(struct server_conn *conn, enum refusal refusal,
+			const char *detail, uint32_t retry_after_ms)
 {
 	char id[REQUEST_ID_BYTES_MAX];
 	struct http_refusal r;
@@ -360,11 +361,17 @@
 	conn->close = true;
 	make_id(conn->server, id);
 	http_build_refusal(&r, refusal, detail, id, true,
-			   refusal_status(refusal) == 503 ? RETRY_AFTER_MS : 0);
+			   refusal_status(refusal) == 503 ? retry_after_ms : 0);
 	respond(conn, &r.response, head_only);
 	free(r.json);
 }
 
+static void refuse(struct server_conn *conn, enum refusal refusal,
+		   const char *detail)
+{
+	refuse_with(conn, refusal, detail, RETRY_AFTER_MS);
+}
+
 /* ---- requests ---- */
 
 static bool target_ok(const struct msg *msg)
@@ -413,10 +420,6 @@
 	req->head_ms = clk_now_ms(loop_clock(conn->server->loop));
 	req->is_first = !conn->has_had_request;
 	conn->has_had_request = true;
-	conn->response_due_ms = conn->server->settings.response_due_ms ?
-					conn->server->settings.response_due_ms(
-						conn->server->arg, req) :
-					0;
 }
 
 static bool is_response_due(const struct server_conn *conn)
@@ -446,6 +449,34 @@
 	set_timer(conn, timeout_ms);
 }
 
+static uint64_t body_length(const struct msg *msg)
+{
+	return msg->parser.content_length == ULLONG_MAX ?
+		       0 :
+		       msg->parser.content_length;
+}
+
+/*
+ * Lets the owner refuse a request before its body is received. Returns false if
+ * it was refused.
+ */
+static bool check_head(struct server_conn *conn)
+{
+	const struct http_server *server = conn->server;
+	struct http_head_check check = { 0 };
+
+	if (server->settings.check_head)
+		server->settings.check_head(server->arg, &conn->exchange->req,
+					    body_length(&conn->exchange->msg),
+					    &check);
+	conn->response_due_ms = check.response_due_ms;
+	if (!check.refusal)
+		return true;
+	refuse_with(conn, check.refusal, "refused before the body",
+		    check.retry_after_ms);
+	return false;
+}
+
 /*
  * Checks a complete head and prepares for the body. Returns false if the
  * request was refused.
@@ -479,6 +510,8 @@
 	conn->close |= msg->parser.http_minor == 0 ||
 		       !http_should_keep_alive(&msg->parser);
 	fill_request(conn);
+	if (!check_head(conn))
+		return false;
 	if (expect && msg_has_body(msg) && !more_bytes &&
 	    msg->parser.http_minor == 1)
 		loop_conn_send(conn->loop_conn, continue_response,
