delay: Count the time for which a probe has no reply

When a link becomes full at once, the reply to a probe is as late as everything else, and the wait was taken for 0 until then. A probe that is overdue shows it.

--- a/almondward/delay.h
+++ b/almondward/delay.h
@@ -26,6 +26,14 @@
  * long, and connections that take too long are given up. */
 #define DELAY_HOLD_MS 1000
 
+/* Probes without a reply that are remembered; 3 s at the usual interval. */
+#define DELAY_PENDING_MAX 32
+
+struct delay_pending {
+	uint64_t sent_ms;
+	uint32_t expected_ms;
+};
+
 struct delay {
 	uint64_t slot_start_ms;
 	uint32_t slot_ms; /* least sample of the slot */
@@ -33,6 +41,9 @@
 	bool has_slot;
 	bool has_last_slot;
 	uint64_t last_sample_ms; /* when it was added */
+	/* Sent later than the last probe with a reply, oldest first. */
+	struct delay_pending pending[DELAY_PENDING_MAX];
+	uint32_t nr_pending;
 };
 
 /* The shortest round trip over a path. */
@@ -44,11 +55,24 @@
 void delay_init(struct delay *delay);
 
 /*
- * Adds a round trip over a path that took round_trip_ms.
+ * Records that a probe was sent over a path. When a link becomes full at once,
+ * the time for which a probe has no reply shows it before the reply does.
+ */
+void delay_probe_sent(struct delay *delay, const struct delay_path *path,
+		      uint64_t now_ms);
+
+/*
+ * Adds a round trip over a path that took round_trip_ms. Probes that were sent
+ * earlier are given up: their path may be lost.
  */
 void delay_add(struct delay *delay, struct delay_path *path,
 	       uint32_t round_trip_ms, uint64_t now_ms);
 
+/*
+ * Gives up all probes without a reply, since a path was lost.
+ */
+void delay_reset_probes(struct delay *delay);
+
 /*
  * Returns the milliseconds that a message to and back from another machine
  * waits for the link at present; 0 if nothing is known.
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -356,6 +356,9 @@
 	DL_PREPEND(gw->links, at);
 	event_log(EVENT_DEPENDENCY, "peer=%s role=control outcome=regained",
 		  peer_link_name(link));
+	/* The shortest round trip must be known before the link is busy. */
+	if (peer_probe(link))
+		gw_count(gw, "send_failed", "probe");
 	follow_leader(gw);
 }
 
@@ -373,6 +376,7 @@
 	}
 	if (gw->leader_link == link)
 		gw->leader_link = NULL;
+	delay_reset_probes(&gw->net.delay);
 	event_log(EVENT_DEPENDENCY, "peer=%s role=control outcome=lost",
 		  peer_link_name(link));
 }
@@ -437,6 +441,8 @@
 	DL_APPEND(gw->links, at);
 	if (peer_probe(at->link))
 		gw_count(gw, "send_failed", "probe");
+	else if (at->path.is_known)
+		delay_probe_sent(&gw->net.delay, &at->path, gw_now_ms(gw));
 }
 
 int gw_link_open(struct gw *gw)
--- a/almondward/gateway_net.c
+++ b/almondward/gateway_net.c
@@ -9,7 +9,7 @@
  */
 
 #define LOG_INTERVAL_MS 1000
-#define MEASURE_INTERVAL_MS 200
+#define MEASURE_INTERVAL_MS 100
 /* The link counts as full from a wait of FULL_MS on, until messages have waited
  * less than FULL_END_MS for FULL_MIN_MS. */
 #define FULL_MS 200
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -56,6 +56,8 @@
 /* A faster link sends a body of a megabyte in less than a tenth of a second, so
  * large bodies need no limit there. */
 #define SLOW_LINK_KBIT_PER_S 100000
+/* Longest round-trip time to a caller. */
+#define NEW_CALLER_MS 150
 /* For requests with neither a deadline nor a timeout. */
 #define TIME_LIMIT_MAX_MS 600000
 /* Retry-After where no better time is known, as for lack of a plan or a server;
@@ -1916,16 +1918,18 @@
 }
 
 /*
- * Returns the time when the caller sent the request, by estimate: the link may
- * have delayed the head and, on a new connection, the packets that established
- * it.
+ * Returns the time when the caller sent the request, by estimate: its head has
+ * waited for the link. So have the packets that established its connection, if
+ * that was opened for the request, which then follows at once.
  */
 static uint64_t sent_ms(const struct gw *gw, const struct http_request *req)
 {
+	uint64_t round_trip_ms = gw_net_delay_ms(gw);
 	uint64_t delay_ms = gw_net_receive_delay_ms(gw);
 
-	if (req->is_first)
-		delay_ms += gw_net_delay_ms(gw);
+	if (req->accepted_ms &&
+	    req->head_ms <= req->accepted_ms + round_trip_ms + NEW_CALLER_MS)
+		delay_ms += round_trip_ms;
 	return delay_ms < req->head_ms ? req->head_ms - delay_ms : 0;
 }
 
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -36,7 +36,8 @@
 	size_t body_bytes;
 	const char *peer; /* "IP:port" of the client */
 	uint64_t head_ms; /* time when the head was complete */
-	bool is_first; /* on its connection */
+	/* When its connection was accepted, for the first one on it, else 0. */
+	uint64_t accepted_ms;
 };
 
 struct http_response {
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -48,7 +48,7 @@
 	size_t queued_bytes; /* of the response, at the last progress check */
 	uint64_t idle_start_ms; /* in SERVER_IDLE */
 	uint64_t response_due_ms; /* of the current request, 0: no limit */
-	bool has_had_request; /* a head was complete */
+	uint64_t accepted_ms; /* 0: a head was complete since */
 	bool close; /* after the response */
 	bool resume; /* the timer will process pipelined bytes */
 	bool in_process; /* process() is running; it frees dead connections */
@@ -418,8 +418,8 @@
 	req->nr_headers = msg->nr_headers;
 	req->peer = loop_conn_peer(conn->loop_conn);
 	req->head_ms = clk_now_ms(loop_clock(conn->server->loop));
-	req->is_first = !conn->has_had_request;
-	conn->has_had_request = true;
+	req->accepted_ms = conn->accepted_ms;
+	conn->accepted_ms = 0;
 }
 
 static bool is_response_due(const struct server_conn *conn)
@@ -734,6 +734,7 @@
 	server->nr_conns++;
 	ctr_set_value(server->connections, server->nr_conns);
 	enter_idle(conn);
+	conn->accepted_ms = conn->idle_start_ms;
 	if (server->settings.connections_max &&
 	    server->nr_conns > server->settings.connections_max)
 		refuse(conn, REFUSAL_MEMORY, "too many connections");
