tests: Waits for the link, probes, heads that are refused

Tests of the estimate, of the report of a full link and its effect on look-ups, of bodies that are refused at the head or when the time is up, and of probes between instances.

--- a/tests/directory_test.cc
+++ b/tests/directory_test.cc
@@ -109,6 +109,35 @@
 	EXPECT_EQ("3", choose("b1"));
 }
 
+// Where the links of a region are full, callers waited for seconds while
+// instances of other regions had room. Those are named beside the full ones, as
+// many as there are of these.
+TEST_F(Directory, OthersAreNamedBesideFullLinks)
+{
+	add("a1", "1");
+	add("a2", "2");
+	add("b1", "3");
+	add("b1", "4");
+	EXPECT_EQ("1 2", choose("a1"));
+	instances[1].link_full = true;
+	EXPECT_TRUE(choose("a1") == "1 2 3" || choose("a1") == "1 2 4");
+	instances[0].link_full = true;
+	EXPECT_EQ(7u, choose("a1").size());
+	EXPECT_EQ("3 4", choose("b1"));
+	instances[2].link_full = true;
+	EXPECT_EQ("1 2 4", choose("a1"));
+	EXPECT_EQ("3 4", choose("b1"));
+	instances[3].link_full = true;
+	EXPECT_EQ("1 2", choose("a1"));
+	// Nor those that reach no server, or that leave.
+	instances[3].link_full = false;
+	instances[3].servers_unreachable = true;
+	EXPECT_EQ("1 2", choose("a1"));
+	instances[3].servers_unreachable = false;
+	instances[3].state = AW__INSTANCE_STATE__INSTANCE_LEAVING;
+	EXPECT_EQ("1 2", choose("a1"));
+}
+
 // Without any other instance, callers must get one that answers them.
 TEST_F(Directory, InstancesWithoutServersAreListedIfAllAre)
 {
--- a/tests/gateway_net_test.cc
+++ b/tests/gateway_net_test.cc
@@ -149,4 +149,50 @@
 	EXPECT_GE(took_ms, ROUTE_TIMEOUT_MS - HELD_MS);
 }
 
+// Packets that wait for the own link were taken for servers that cannot be
+// reached: instances relayed their requests, which filled more links. Callers
+// were sent to full instances while others had room.
+TEST(GatewayNet, FullLinkIsNoticedAndReported)
+{
+	Instance instance;
+	Net &net = instance.net;
+	RawConn first(net, instance.callers.c_str());
+	RawConn second(net, instance.callers.c_str());
+
+	EXPECT_EQ((uint32_t)GW_CONNECT_TIMEOUT_MS,
+		  gw_connect_timeout_ms(&instance.gw));
+	first.send(instance.upload("large-1"));
+	second.send(instance.upload("large-2"));
+	ASSERT_TRUE(net.until([&] {
+		return gw_connect_timeout_ms(&instance.gw) >=
+		       GW_CONNECT_TIMEOUT_MS + 300;
+	}));
+	EXPECT_GT(instance.link.longest_bytes, BODY_BYTES);
+	EXPECT_TRUE(instance.gw.net.is_full);
+	ASSERT_TRUE(net.until([&] { return !instance.gw.net.is_full; }));
+	EXPECT_EQ((uint32_t)GW_CONNECT_TIMEOUT_MS,
+		  gw_connect_timeout_ms(&instance.gw));
+}
+
+// A body that the link cannot carry to a server in time was received, waited
+// for the link and was refused when its time was up.
+TEST(GatewayNet, BodyThatCannotBeCarriedInTimeIsRefusedAtOnce)
+{
+	Instance instance;
+	Net &net = instance.net;
+	RawConn caller(net, instance.callers.c_str());
+	std::string upload = instance.upload("large-1");
+	const std::string deadline = "X-Deadline-Ms: 10000";
+	uint64_t start_ms = clk_now_ms(net.clk);
+
+	// The link needs 400 ms in each direction.
+	upload.replace(upload.find(deadline), deadline.size(),
+		       "X-Deadline-Ms: 700");
+	caller.send(upload);
+	ASSERT_TRUE(net.until([&] { return Instance::has_response(caller); }));
+	EXPECT_NE(std::string::npos, caller.received.find(" 503 "));
+	EXPECT_LE(clk_now_ms(net.clk) - start_ms, 250u);
+	EXPECT_TRUE(instance.gateway.server.runs.empty());
+}
+
 } // namespace
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -22,6 +22,9 @@
 	bool defer_response = false;
 	bool destroy_in_handler = false;
 	std::function<void()> in_handler;
+	struct http_head_check check = {};
+	uint64_t checked_bytes = 0;
+	uint32_t time_limit_ms = 0; // 0: none
 	int aborted = 0;
 	int ids = 0;
 
@@ -38,6 +41,7 @@
 		settings.body_timeout_ms = timeout_ms;
 		settings.counters = counters;
 		settings.make_id = make_id;
+		settings.check_head = check_head;
 		EXPECT_EQ(LOOP_OK, http_server_create(net.loop, &settings,
 						      handle, this, &server));
 	}
@@ -54,6 +58,19 @@
 			 ++((Server *)arg)->ids);
 	}
 
+	static void check_head(void *arg, const struct http_request *req,
+			       uint64_t body_bytes,
+			       struct http_head_check *check)
+	{
+		auto self = (Server *)arg;
+
+		*check = self->check;
+		self->checked_bytes = body_bytes;
+		if (self->time_limit_ms)
+			check->response_due_ms =
+				req->head_ms + self->time_limit_ms;
+	}
+
 	static void abort(void *arg)
 	{
 		((Server *)arg)->aborted++;
@@ -404,6 +421,49 @@
 		<< row.name;
 }
 
+// A large body was received in full before its request was refused. The refusal
+// must not wait for the body, and the body must not be read as a request.
+TEST(HttpServer, OwnerRefusesBeforeTheBody)
+{
+	Server server;
+	RawConn client(server.net, server.address());
+
+	server.check.refusal = REFUSAL_QUEUE_FULL;
+	server.check.retry_after_ms = 2500;
+	client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n"
+		    "\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+	ASSERT_TRUE(server.net.until([&] { return client.closed; }));
+	EXPECT_EQ(900u, server.checked_bytes);
+	EXPECT_EQ(0u, client.received.find("HTTP/1.1 503 "));
+	EXPECT_NE(std::string::npos,
+		  client.received.find("Retry-After: 3\r\n"));
+	EXPECT_EQ(std::string::npos, client.received.find("HTTP/1.1", 1));
+	EXPECT_TRUE(server.requests.empty());
+}
+
+// The handler gets a request only with its whole body. One whose body came in
+// small parts was held as long as any part came, beyond its time limit.
+TEST(HttpServer, TimeLimitHoldsWhileTheBodyIsReceived)
+{
+	Server server(1000);
+	RawConn client(server.net, server.address());
+	uint64_t start_ms = clk_now_ms(server.net.clk);
+
+	server.time_limit_ms = 400;
+	client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n"
+		    "\r\n");
+	for (int i = 0; i < 12 && !client.closed; i++) {
+		client.send("x");
+		server.net.run_ms(100);
+	}
+	ASSERT_TRUE(client.closed);
+	EXPECT_LE(clk_now_ms(server.net.clk) - start_ms, 1000u);
+	EXPECT_EQ(0u, client.received.find("HTTP/1.1 503 "));
+	EXPECT_NE(std::string::npos,
+		  client.received.find("Almondward-Not-Run: 1"));
+	EXPECT_TRUE(server.requests.empty());
+}
+
 } // namespace
 
 TEST(HttpServer, Table)
--- a/tests/peer_test.cc
+++ b/tests/peer_test.cc
@@ -15,7 +15,8 @@
 	struct peer_node *node = nullptr;
 	struct ctr_set *counters = ctr_set_create();
 	struct peer_link *link = nullptr;
-	int ups = 0, downs = 0, frames = 0, pings = 0;
+	int ups = 0, downs = 0, frames = 0, pings = 0, probes = 0;
+	uint32_t round_trip_ms = 0;
 	std::string leader, destroy_in;
 	size_t received_bytes = 0;
 	std::string peer_name, peer_zone;
@@ -25,8 +26,8 @@
 	    : net(n)
 	{
 		struct peer_settings settings = {};
-		const struct peer_ops ops = { on_up, on_down, on_frame,
-					      on_ping };
+		const struct peer_ops ops = { on_up, on_down, on_frame, on_ping,
+					      on_probed };
 
 		settings.name = name;
 		settings.role = AW__ROLE__ROLE_ENTRY;
@@ -97,6 +98,16 @@
 		self->destroy_if_in("ping");
 	}
 
+	static void on_probed(void *arg, struct peer_link *,
+			      uint32_t round_trip_ms)
+	{
+		auto self = (Node *)arg;
+
+		self->probes++;
+		self->round_trip_ms = round_trip_ms;
+		self->destroy_if_in("probe");
+	}
+
 	enum loop_error send(size_t bytes)
 	{
 		Aw__ProposeReply reply = AW__PROPOSE_REPLY__INIT;
@@ -231,6 +242,27 @@
 	}
 };
 
+// The reply to a probe must not be probed in turn, and its time is the round
+// trip.
+TEST(Peer, ProbeMeasuresTheRoundTrip)
+{
+	Net net;
+	Node a(net, "a"), b(net, "b", "secret", nullptr);
+
+	ASSERT_EQ(LOOP_OK,
+		  peer_node_add(b.node, "a", peer_node_address(a.node)));
+	ASSERT_TRUE(net.until([&] { return a.link && b.link; }));
+	ASSERT_EQ(LOOP_OK, peer_probe(b.link));
+	ASSERT_TRUE(net.until([&] { return b.probes == 1; }));
+	EXPECT_LE(b.round_trip_ms, 1000u);
+	net.run_ms(50);
+	EXPECT_EQ(1, b.probes);
+	EXPECT_EQ(0, a.probes);
+	b.destroy_in = "probe";
+	ASSERT_EQ(LOOP_OK, peer_probe(b.link));
+	ASSERT_TRUE(net.until([&] { return !b.node; }));
+}
+
 } // namespace
 
 TEST(Peer, ConnectsAndExchanges)
--- a/tests/topo_test.cc
+++ b/tests/topo_test.cc
@@ -360,6 +360,26 @@
 	}
 }
 
+// Look-ups avoid full links only if every change of them is passed on.
+TEST_F(Topo, FullLinkIsPassedOn)
+{
+	Aw__Instance instance = AW__INSTANCE__INIT;
+	uint64_t version;
+	size_t nr;
+
+	instance.name = (char *)"e1";
+	instance.zone = (char *)"z";
+	instance.address = (char *)"10.0.0.9:80";
+	ASSERT_EQ(0, topo_instance_up(topo, &instance, 7));
+	for (bool full : { true, false }) {
+		version = topo_instances_version(topo);
+		instance.link_full = full;
+		ASSERT_EQ(0, topo_instance_up(topo, &instance, 7));
+		EXPECT_NE(version, topo_instances_version(topo));
+		EXPECT_EQ(full, topo_instances(topo, &nr)[0]->link_full);
+	}
+}
+
 TEST_F(Topo, LostInstanceStaysListedForAShortTime)
 {
 	Aw__Instance instance = AW__INSTANCE__INIT;
