steer: Do not take the wait for the own link for work of servers

Responses waited up to 2 s for the link of the instance, and this counted as work: cached objects were taken for objects that are not, servers for slow, and requests were refused that servers could have taken.

Steer.WaitForTheLinkIsNoWork fails without it.

--- a/almondward/gateway_crashes.c
+++ b/almondward/gateway_crashes.c
@@ -196,8 +196,9 @@
 	snprintf(other->address, sizeof(other->address), "%s",
 		 choice.server->address);
 	snprintf(other->zone, sizeof(other->zone), "%s", choice.server->zone);
-	if (loop_probe(at->gw->loop, other->address, GW_CONNECT_TIMEOUT_MS,
-		       on_other_probed, other, &other->probe))
+	if (loop_probe(at->gw->loop, other->address,
+		       gw_connect_timeout_ms(at->gw), on_other_probed, other,
+		       &other->probe))
 		return -1;
 	at->nr_others++;
 	return 0;
@@ -258,8 +259,8 @@
 	struct gw *gw = at->gw;
 
 	gw_count(gw, "server_probes", "");
-	if (loop_probe(gw->loop, at->address, GW_CONNECT_TIMEOUT_MS, on_probed,
-		       at, &at->probe))
+	if (loop_probe(gw->loop, at->address, gw_connect_timeout_ms(gw),
+		       on_probed, at, &at->probe))
 		exit_check_server_done(at->check, LOOP_PROBE_NO_ANSWER);
 }
 
--- a/almondward/gateway_request.c
+++ b/almondward/gateway_request.c
@@ -120,6 +120,8 @@
 	 * 0: it is not new, not open yet, or was counted. */
 	uint64_t settles_ms;
 	bool has_settled; /* it was counted */
+	/* Time to establish the new connection, without waits for the link. */
+	uint32_t connect_ms;
 	struct steer_attempt attempt; /* the current one */
 	uint64_t first_sent_ms; /* time of the first attempt, 0: none yet */
 	uint32_t nr_maybe_run; /* attempts that may have run the request */
@@ -693,6 +695,17 @@
 	       check_quarantine(request, &retry_after_ms) != QUAR_REFUSED;
 }
 
+/*
+ * Returns the part of the time of a round trip that was spent in waiting for the
+ * link.
+ */
+static uint32_t link_part_ms(const struct gw *gw, uint32_t round_trip_ms)
+{
+	uint32_t delay_ms = gw_net_delay_ms(gw);
+
+	return delay_ms < round_trip_ms ? delay_ms : round_trip_ms;
+}
+
 /*
  * Called when the connection is established and the request is about to be
  * sent.
@@ -701,9 +714,14 @@
 {
 	struct gw_request *request = arg;
 
-	if (request->conn_info.is_opening && request->conn)
+	if (request->conn_info.is_new && request->conn) {
+		request->connect_ms = http_conn_connect_ms(request->conn);
 		gw_net_connected(request->gw, request->choice.server,
-				 http_conn_connect_ms(request->conn));
+				 request->connect_ms);
+		if (request->conn_info.is_opening)
+			request->connect_ms -=
+				link_part_ms(request->gw, request->connect_ms);
+	}
 	request->is_sent = may_send(arg);
 	if (request->is_sent && request->conn_info.is_opening)
 		request->settles_ms = gw_now_ms(request->gw) + GW_SETTLE_MS +
@@ -860,9 +878,13 @@
 	request->conn = NULL;
 }
 
+/*
+ * The request to the server and the response wait for the link, so the server
+ * has less time.
+ */
 static void set_time_left(struct gw_request *request)
 {
-	uint64_t now_ms = gw_now_ms(request->gw);
+	uint64_t now_ms = gw_now_ms(request->gw) + gw_net_delay_ms(request->gw);
 
 	request->query.aim_left_ms = (int64_t)(request->target_ms - now_ms);
 	request->query.left_ms = request->deadline_ms > now_ms ?
@@ -1079,7 +1101,8 @@
 		return false;
 	waited_ms = attempt_ms(request);
 	return waited_ms >= SILENT_MIN_MS &&
-	       waited_ms > 2 * request->choice.expected_ms;
+	       waited_ms > 2 * request->choice.expected_ms +
+				   gw_net_delay_ms(request->gw);
 }
 
 void gw_request_check_silent(struct gw *gw)
@@ -1187,7 +1210,7 @@
 	gw->adapter->read_answer(response, &read);
 	if (request->conn_info.is_new)
 		steer_connected(gw->steer, request->choice.server,
-				http_conn_connect_ms(conn));
+				request->connect_ms);
 	load.known = read.has_load;
 	load.running = read.running;
 	load.waiting = read.waiting;
@@ -1226,6 +1249,7 @@
 	}
 	if (response->status < 300)
 		apply_limit_end(request, &read);
+	request->attempt.link_ms = link_part_ms(gw, attempt_ms(request));
 	log_attempt(request, STEER_SUCCESS, "");
 	stop_waiting(request);
 	end_large_body(request);
--- a/almondward/steer.c
+++ b/almondward/steer.c
@@ -1515,10 +1515,10 @@
  */
 static void learn_service(struct steer *steer, struct steer_server *server,
 			  const struct steer_query *query,
-			  const struct steer_attempt *attempt)
+			  const struct steer_attempt *attempt,
+			  double latency_ms)
 {
-	double at_server_ms = (double)(now_ms(steer) - attempt->sent_ms) -
-			      rtt_ms(steer, server);
+	double at_server_ms = latency_ms - rtt_ms(steer, server);
 	double sample = at_server_ms;
 
 	if (attempt->load + 1 > server->slots)
@@ -1552,6 +1552,7 @@
 	enum coord_end_result end = COORD_CACHE_UNKNOWN;
 	uint64_t at_ms = read_clock(steer);
 	bool failed = false;
+	double latency_ms;
 
 	server->in_flight--;
 	/* The exact order is not tracked; this underestimates the age of the
@@ -1564,9 +1565,10 @@
 	switch (outcome) {
 	case STEER_SUCCESS:
 		server->unreached_until_ms = 0;
-		end = learn_work(steer, server, query,
-				 (double)(at_ms - attempt->sent_ms), load);
-		learn_service(steer, server, query, attempt);
+		latency_ms =
+			(double)(at_ms - attempt->sent_ms) - attempt->link_ms;
+		end = learn_work(steer, server, query, latency_ms, load);
+		learn_service(steer, server, query, attempt, latency_ms);
 		break;
 	case STEER_SHED:
 		/* A server that sheds load with slots free is failing. */
