relay: Prefer instances whose links are not full

Relays went to instances of the own region although their links were full. Relay.FullLinksComeLast shows it.

--- a/almondward/gateway_relay.c
+++ b/almondward/gateway_relay.c
@@ -204,27 +204,38 @@
 }
 
 /*
- * Chooses at random among the instances of this region, or else of the others.
+ * A relay to a full link would wait there; one to another region takes a longer
+ * way.
+ */
+static int preference(const struct gw *gw, const Aw__Instance *instance)
+{
+	const struct set_cluster *cluster = &gw->settings->cluster;
+	bool is_near =
+		!strcmp(set_region(cluster, instance->zone), cluster->region);
+
+	return (instance->link_full ? 0 : 2) + is_near;
+}
+
+/*
+ * Chooses at random among the preferred instances.
  */
 static const Aw__Instance *choose_instance(const struct gw_relay *relay)
 {
 	struct gw *gw = relay->gw;
-	const struct set_cluster *cluster = &gw->settings->cluster;
 	const Aw__Instance *const *all, *chosen = NULL;
-	bool is_near, has_near = false;
+	int best = -1, at_preference;
 	size_t nr, nr_equal = 0;
 
 	all = topo_instances(gw->topo, &nr);
 	for (size_t i = 0; i < nr; i++) {
 		if (!may_take(relay, all[i]))
 			continue;
-		is_near = !strcmp(set_region(cluster, all[i]->zone),
-				  cluster->region);
-		if (has_near && !is_near)
+		at_preference = preference(gw, all[i]);
+		if (at_preference < best)
 			continue;
-		if (is_near && !has_near)
+		if (at_preference > best)
 			nr_equal = 0;
-		has_near |= is_near;
+		best = at_preference;
 		if (erand48(gw->random_state) * (double)++nr_equal < 1)
 			chosen = all[i];
 	}
--- a/almondward/steer.h
+++ b/almondward/steer.h
@@ -160,10 +160,10 @@
 /* State at the time when an attempt began. */
 struct steer_attempt {
 	uint64_t sent_ms;
-	/* Part of the time since then that messages waited for the own link,
+	uint32_t load; /* copied from the choice */
+	/* Part of the time since sent_ms that messages waited for the own link,
 	 * which says nothing about the server. */
 	uint32_t link_ms;
-	uint32_t load; /* copied from the choice */
 };
 
 /*
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -22,6 +22,7 @@
 	struct http_server *server = nullptr;
 	Aw__InstanceState state = AW__INSTANCE_STATE__INSTANCE_ACTIVE;
 	bool unreachable = false;
+	bool link_full = false;
 	std::string address;
 	uint32_t status = 200;
 	std::string error; // of a refusal, "": none
@@ -175,6 +176,7 @@
 			messages[i].state = instances[i]->state;
 			messages[i].servers_unreachable =
 				instances[i]->unreachable;
+			messages[i].link_full = instances[i]->link_full;
 			list.push_back(&messages[i]);
 		}
 		feed.term = ++term;
@@ -368,6 +370,28 @@
 	EXPECT_EQ(0u, far->nr_requests);
 }
 
+// Relays filled links further that were full already, while other instances had
+// room.
+TEST_F(Relay, FullLinksComeLast)
+{
+	auto near = add("n1", "a1"), full = add("n2", "a2"),
+	     far = add("far", "b1");
+
+	full->link_full = true;
+	sync();
+	for (int i = 0; i < 10; i++)
+		run();
+	EXPECT_EQ(10u, near->nr_requests);
+	near->link_full = true;
+	sync();
+	run();
+	EXPECT_EQ(1u, far->nr_requests);
+	far->link_full = true;
+	sync();
+	run();
+	EXPECT_EQ(11u, near->nr_requests + full->nr_requests);
+}
+
 // The body of a request with home regions must not leave them.
 TEST_F(Relay, HomeRegionsBind)
 {
--- a/tests/steer_test.cc
+++ b/tests/steer_test.cc
@@ -131,13 +131,15 @@
 			steer_attempt_begin(steer, server, &other);
 	}
 
-	void serve(const struct steer_query &query, uint32_t took_ms = 264)
+	void serve(const struct steer_query &query, uint32_t took_ms = 264,
+		   uint32_t link_ms = 0)
 	{
 		auto choice = pick(query);
 
 		ASSERT_EQ(STEER_SEND, choice.verdict);
 		steer_attempt_begin(steer, choice.server, &query);
-		struct steer_attempt attempt = { clk_now_ms(clk), choice.load };
+		struct steer_attempt attempt = { clk_now_ms(clk), choice.load,
+						 link_ms };
 		clk_advance_ms(clk, took_ms);
 		steer_attempt_end(steer, choice.server, &query, STEER_SUCCESS,
 				  &attempt, &unknown);
@@ -1224,6 +1226,25 @@
 	EXPECT_EQ("s1", id(pick(query(1))));
 }
 
+// The wait of responses for the own link was taken for work of the servers:
+// cached objects for others, and all servers for too slow.
+TEST_F(Steer, WaitForTheLinkIsNoWork)
+{
+	uint32_t expected_ms;
+
+	add("one", "a1");
+	sync();
+	for (int i = 0; i < 20; i++)
+		serve(query(1), 264);
+	expected_ms = pick(query(1)).expected_ms;
+	for (int i = 0; i < 20; i++)
+		serve(query(1), 1264, 1000);
+	EXPECT_NEAR(expected_ms, pick(query(1)).expected_ms, 5);
+	for (int i = 0; i < 20; i++)
+		serve(query(1), 1264);
+	EXPECT_GT(pick(query(1)).expected_ms, expected_ms + 100);
+}
+
 // The work of a deployment takes three to ten times as long as the initial
 // estimate. All requests, of 1.1 s and of 3.4 s, counted as work on objects
 // that are not cached, and 0.4 s were expected for those that took 1.1 s.
