--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -137,7 +137,8 @@
 	bool is_busy; /* in the last interval */
 	uint64_t probed_ms; /* when the last probe was sent */
 	bool is_full; /* as reported to the leader */
-	uint64_t delayed_ms; /* when messages last waited long */
+	uint64_t below_full_ms; /* when they last waited less than FULL_MS */
+	uint64_t delayed_ms; /* when they last waited FULL_END_MS */
 	struct loop_traffic logged[LOOP_USE_COUNT]; /* at the last log line */
 	uint64_t logged_ms;
 	/* New connections to servers of the own region since then. */
--- a/almondward/gateway_net.c
+++ b/almondward/gateway_net.c
@@ -10,9 +10,14 @@
 
 #define LOG_INTERVAL_MS 1000
 #define MEASURE_INTERVAL_MS 100
-/* The link counts as full from a wait of FULL_MS on, until messages have waited
- * less than FULL_END_MS for FULL_MIN_MS. */
-#define FULL_MS 200
+/*
+ * The link counts as full when messages have waited FULL_MS for FULL_BEGIN_MS,
+ * until they have waited less than FULL_END_MS for FULL_MIN_MS. A burst of large
+ * bodies is over sooner, and sending callers to another region for it costs
+ * more than it saves.
+ */
+#define FULL_MS 300
+#define FULL_BEGIN_MS 1000
 #define FULL_END_MS 100
 #define FULL_MIN_MS 2000
 #define PROBE_INTERVAL_MS 100 /* while the link is busy */
@@ -150,12 +155,14 @@
 	struct gw_net *net = &gw->net;
 	bool was_full = net->is_full;
 
-	if (delay_ms >= (was_full ? FULL_END_MS : FULL_MS)) {
+	if (delay_ms < FULL_MS)
+		net->below_full_ms = now_ms;
+	if (delay_ms >= FULL_END_MS)
 		net->delayed_ms = now_ms;
-		net->is_full = true;
-	}
-	if (was_full && now_ms >= net->delayed_ms + FULL_MIN_MS)
-		net->is_full = false;
+	if (was_full)
+		net->is_full = now_ms < net->delayed_ms + FULL_MIN_MS;
+	else
+		net->is_full = now_ms >= net->below_full_ms + FULL_BEGIN_MS;
 	if (net->is_full == was_full)
 		return;
 	gw_count(gw, "link_changes", net->is_full ? "full" : "free");
