gateway: Keep the shortest round trip of a control instance

A connection to control that is established while the link is full has only long round trips, so no wait was found. The shortest one is kept with the address. Lines about the link are no longer written for servers that accept late.

--- a/almondward/gateway_internal.h
+++ b/almondward/gateway_internal.h
@@ -70,7 +70,6 @@
 /* An established connection to a control instance. */
 struct gw_link {
 	struct peer_link *link;
-	struct delay_path path;
 	struct gw_link *prev, *next;
 };
 
@@ -79,6 +78,9 @@
 	char address[ADDRESS_BYTES_MAX];
 	/* When the seeds or a control instance last named it. */
 	uint64_t last_listed_ms;
+	/* Kept when the connection is lost: the next one may be established
+	 * while the link is full. */
+	struct delay_path path;
 	struct gw_control *prev, *next;
 };
 
@@ -134,7 +136,7 @@
 	uint64_t measured_ms;
 	uint64_t measured_received_bytes;
 	uint64_t measured_sent_bytes;
-	bool is_busy; /* in the last interval */
+	uint64_t busy_ms; /* end of the last busy interval, 0: none */
 	uint64_t probed_ms; /* when the last probe was sent */
 	bool is_full; /* as reported to the leader */
 	uint64_t below_full_ms; /* when they last waited less than FULL_MS */
@@ -252,8 +254,6 @@
  */
 uint32_t gw_net_receive_delay_ms(const struct gw *gw);
 uint32_t gw_net_send_delay_ms(const struct gw *gw);
-/* Records a round trip to a control instance. */
-void gw_net_probed(struct gw *gw, struct gw_link *link, uint32_t round_trip_ms);
 /* Records the time that it took to connect to a server. */
 void gw_net_connected(struct gw *gw, const struct steer_server *server,
 		      uint32_t connect_ms);
--- a/almondward/gateway_link.c
+++ b/almondward/gateway_link.c
@@ -28,16 +28,25 @@
  * for this long is given up. */
 #define UNLISTED_MAX_MS 30000
 
-static void add_control(struct gw *gw, const char *address)
+static struct gw_control *find_control(struct gw *gw, const char *address)
 {
 	struct gw_control *at;
 
 	DL_FOREACH(gw->controls, at)
 	{
-		if (!strcmp(at->address, address)) {
-			at->last_listed_ms = gw_now_ms(gw);
-			return;
-		}
+		if (!strcmp(at->address, address))
+			return at;
+	}
+	return NULL;
+}
+
+static void add_control(struct gw *gw, const char *address)
+{
+	struct gw_control *at = find_control(gw, address);
+
+	if (at) {
+		at->last_listed_ms = gw_now_ms(gw);
+		return;
 	}
 	at = calloc(1, sizeof(*at));
 	if (!at || strlen(address) >= ADDRESS_BYTES_MAX ||
@@ -420,29 +429,29 @@
 
 static void on_probed(void *arg, struct peer_link *link, uint32_t round_trip_ms)
 {
-	struct gw_link *at;
 	struct gw *gw = arg;
+	struct gw_control *control = find_control(gw, peer_link_name(link));
 
-	DL_FOREACH(gw->links, at)
-	{
-		if (at->link == link)
-			gw_net_probed(gw, at, round_trip_ms);
-	}
+	if (control)
+		delay_add(&gw->net.delay, &control->path, round_trip_ms,
+			  gw_now_ms(gw));
 }
 
 void gw_link_probe(struct gw *gw)
 {
 	struct gw_link *at = gw->links;
+	const struct gw_control *control;
 
 	if (!at)
 		return;
 	/* The next probe takes another link. */
 	DL_DELETE(gw->links, at);
 	DL_APPEND(gw->links, at);
+	control = find_control(gw, peer_link_name(at->link));
 	if (peer_probe(at->link))
 		gw_count(gw, "send_failed", "probe");
-	else if (at->path.is_known)
-		delay_probe_sent(&gw->net.delay, &at->path, gw_now_ms(gw));
+	else if (control && control->path.is_known)
+		delay_probe_sent(&gw->net.delay, &control->path, gw_now_ms(gw));
 }
 
 int gw_link_open(struct gw *gw)
--- a/almondward/gateway_net.c
+++ b/almondward/gateway_net.c
@@ -10,6 +10,8 @@
 
 #define LOG_INTERVAL_MS 1000
 #define MEASURE_INTERVAL_MS 100
+/* A full link delivers unevenly: a busy interval counts for this long. */
+#define BUSY_HOLD_MS 500
 /*
  * The link counts as full when messages have waited FULL_MS for FULL_BEGIN_MS,
  * until they have waited less than FULL_END_MS for FULL_MIN_MS. A burst of large
@@ -71,7 +73,7 @@
 	out_bytes = add_traffic(gw, out_text, sizeof(out_text), true);
 	if (!is_busy(gw, in_bytes, span_ms) &&
 	    !is_busy(gw, out_bytes, span_ms) && backlog_ms < SLOW_MS &&
-	    net->connect_max_ms < SLOW_MS)
+	    gw_net_delay_ms(gw) < SLOW_MS)
 		return;
 	event_log(EVENT_NET,
 		  "span_ms=%llu in=%llu out=%llu %s%sdelay_ms=%u backlog_ms=%u "
@@ -99,7 +101,7 @@
 }
 
 /*
- * Finds out whether the link was busy in the last interval.
+ * Finds out whether the link was busy since the last call.
  */
 static void measure(struct gw *gw, uint64_t now_ms)
 {
@@ -108,19 +110,25 @@
 		 sent_bytes;
 
 	get_bytes(gw, &received_bytes, &sent_bytes);
-	net->is_busy =
-		gw->settings->cluster.bounds.link_kbit_per_s &&
-		(is_busy(gw, received_bytes - net->measured_received_bytes,
-			 span_ms) ||
-		 is_busy(gw, sent_bytes - net->measured_sent_bytes, span_ms));
+	if (gw->settings->cluster.bounds.link_kbit_per_s &&
+	    (is_busy(gw, received_bytes - net->measured_received_bytes,
+		     span_ms) ||
+	     is_busy(gw, sent_bytes - net->measured_sent_bytes, span_ms)))
+		net->busy_ms = now_ms;
 	net->measured_ms = now_ms;
 	net->measured_received_bytes = received_bytes;
 	net->measured_sent_bytes = sent_bytes;
 }
 
+static bool was_busy(const struct gw *gw)
+{
+	return gw->net.busy_ms &&
+	       gw_now_ms(gw) < gw->net.busy_ms + BUSY_HOLD_MS;
+}
+
 uint32_t gw_net_delay_ms(const struct gw *gw)
 {
-	return gw->net.is_busy ? delay_ms(&gw->net.delay, gw_now_ms(gw)) : 0;
+	return was_busy(gw) ? delay_ms(&gw->net.delay, gw_now_ms(gw)) : 0;
 }
 
 /*
@@ -140,11 +148,6 @@
 	return gw_net_delay_ms(gw) - gw_net_send_delay_ms(gw);
 }
 
-void gw_net_probed(struct gw *gw, struct gw_link *link, uint32_t round_trip_ms)
-{
-	delay_add(&gw->net.delay, &link->path, round_trip_ms, gw_now_ms(gw));
-}
-
 /*
  * Reports to the leader when the link becomes full, and when it has had room
  * for some time.
@@ -190,7 +193,7 @@
 
 	if (now_ms >= net->measured_ms + MEASURE_INTERVAL_MS)
 		measure(gw, now_ms);
-	if (net->is_busy && now_ms >= net->probed_ms + PROBE_INTERVAL_MS) {
+	if (was_busy(gw) && now_ms >= net->probed_ms + PROBE_INTERVAL_MS) {
 		net->probed_ms = now_ms;
 		gw_link_probe(gw);
 	}
--- a/tests/gateway_net_test.cc
+++ b/tests/gateway_net_test.cc
@@ -201,4 +201,38 @@
 	EXPECT_TRUE(instance.gateway.server.runs.empty());
 }
 
+// A connection to control that is established while the link is full takes
+// long: measured against itself it showed no wait.
+TEST(GatewayNet, NewConnectionKnowsTheShortestRoundTrip)
+{
+	Instance instance;
+	Net &net = instance.net;
+	std::vector<std::unique_ptr<RawConn>> callers;
+	struct peer_link *link = instance.gw.links->link;
+	auto fill = [&] {
+		if (instance.link.wait_ms() > 600)
+			return true;
+		callers.push_back(std::make_unique<RawConn>(
+			net, instance.callers.c_str()));
+		callers.back()->send(instance.upload("large"));
+		return false;
+	};
+
+	ASSERT_TRUE(net.until([&] { return fill(); }));
+	for (auto &path : instance.link.paths)
+		if (!path->to_inner && path->inner) {
+			loop_conn_close(path->inner);
+			SlowLink::on_inner_closed(path.get(), nullptr,
+						  LOOP_CLOSE_BY_PEER);
+		}
+	ASSERT_TRUE(net.until([&] {
+		fill();
+		return instance.gw.links && instance.gw.links->link != link;
+	}));
+	ASSERT_TRUE(net.until([&] {
+		fill();
+		return gw_net_delay_ms(&instance.gw) > HELD_MS;
+	}));
+}
+
 } // namespace
