control: An order that was delayed does not reverse a later one

Cause: an order for a zone has no identity, and every instance carried out each copy that it read. An instance that goes on after a pause reads what waited in its sockets. The log of process_orders.py on the code before: control-1 goes on at 40.686, applies the take-back at index 7 and the evacuation at index 8, both acknowledged by others, in the same millisecond, then reads the old order and has it recorded at index 9. So what the instance knows when it reads the order does not help: the later orders may be known there first. With the order first, the leader has them and the sender does not.

Change: each control instance keeps the latest order of each kind for each zone, from the log (zord). The instance that reads an order bounds the time at which it may have arrived by the turns of its event loop (arrival), and refuses it with 503 if an opposite order has become known since then, or if its caller has closed the connection. A forwarded order names the log index that the sender had applied; the leader refuses it if an opposite order is in its log above that. The index is not stored, so the log is as before; earlier versions ignore it. A caller that still waits sends the order again and is obeyed.

Tests: process_orders.py order_at_woken_follower and order_at_woken_leader fail on (1.3 s pause: the order given up was carried out after the later one) and pass now, with pauses from 1.3 to 5 s, callers that leave and that stay, a leader that stood still and a change of leader (this last one passed before, too).

--- a/almondward/almondward.pb-c.c
+++ b/almondward/almondward.pb-c.c
@@ -6935,7 +6935,7 @@
   (ProtobufCMessageInit) aw__op_claim_release__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor aw__op_zone__field_descriptors[2] =
+static const ProtobufCFieldDescriptor aw__op_zone__field_descriptors[3] =
 {
   {
     "zone",
@@ -6961,15 +6961,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Aw__OpZone, known_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned aw__op_zone__field_indices_by_name[] = {
   1,   /* field[1] = evacuated */
+  2,   /* field[2] = known_index */
   0,   /* field[0] = zone */
 };
 static const ProtobufCIntRange aw__op_zone__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor aw__op_zone__descriptor =
 {
@@ -6979,7 +6992,7 @@
   "Aw__OpZone",
   "aw",
   sizeof(Aw__OpZone),
-  2,
+  3,
   aw__op_zone__field_descriptors,
   aw__op_zone__field_indices_by_name,
   1,  aw__op_zone__number_ranges,
--- a/almondward/almondward.pb-c.h
+++ b/almondward/almondward.pb-c.h
@@ -848,10 +848,15 @@
   ProtobufCMessage base;
   char *zone;
   protobuf_c_boolean evacuated;
+  /*
+   * Only in Propose: the log index that the sender had applied when it received
+   * the order. 0: from an earlier version.
+   */
+  uint64_t known_index;
 };
 #define AW__OP_ZONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&aw__op_zone__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Aw__OpDeparture
--- a/almondward/control_cluster.c
+++ b/almondward/control_cluster.c
@@ -49,8 +49,10 @@
 	set_peer_address(&ctl->settings->cluster,
 			 ctl->settings->cluster.listen_control, cluster->self);
 	cluster->topo = topo_create(ctl->clk);
+	cluster->zone_orders = zord_create();
+	cluster->arrival = arrival_create(ctl->clk);
 	cluster->lists_version = 1;
-	if (!cluster->topo)
+	if (!cluster->topo || !cluster->zone_orders || !cluster->arrival)
 		return -1;
 	topo_set_planned(cluster->topo, is_planned, ctl);
 	return 0;
@@ -82,6 +84,8 @@
 	share_pool_destroy(cluster->shares);
 	quar_destroy(cluster->quar);
 	topo_destroy(cluster->topo);
+	zord_destroy(cluster->zone_orders);
+	arrival_destroy(cluster->arrival);
 	while (ctl->controls) {
 		struct ctl_control *control = ctl->controls;
 
@@ -407,6 +411,7 @@
 					      entry->index);
 		break;
 	case AW__OP__BODY_ZONE:
+		ctl_orders_recorded(ctl, op, entry->index);
 		if (fleet_service_index(ctl->fleet) == entry->index)
 			on_zone_applied(ctl, op->zone);
 		break;
@@ -450,6 +455,7 @@
 {
 	struct ctl_cluster *cluster = ctl->cluster;
 
+	arrival_turn(cluster->arrival);
 	update_controls(ctl);
 	ctl_forward_tick(ctl);
 	ctl_service_tick(ctl);
--- a/almondward/control_cluster.h
+++ b/almondward/control_cluster.h
@@ -4,11 +4,13 @@
 #ifndef CONTROL_CLUSTER_H
 #define CONTROL_CLUSTER_H
 
+#include "arrival.h"
 #include "control_internal.h"
 #include "event.h"
 #include "service.h"
 #include "share.h"
 #include "topo.h"
+#include "zone_orders.h"
 
 /*
  * A voter that is silent for this long is removed once its replacement has
@@ -52,6 +54,8 @@
 	const struct svc_adapter *adapter;
 	char self[ADDRESS_BYTES_MAX]; /* peer address, also the name in Raft */
 	struct topo *topo;
+	struct zord *zone_orders;
+	struct arrival *arrival;
 	struct share_pool *shares; /* NULL unless it has led */
 	uint64_t led_term; /* term in which this instance leads, 0: none */
 	struct http_server *control; /* operators and backend servers */
--- a/almondward/control_internal.h
+++ b/almondward/control_internal.h
@@ -193,6 +193,19 @@
 		    const Aw__Propose *propose);
 void ctl_propose_link_down(struct ctl *ctl, const struct peer_link *link);
 
+/* ---- control_orders.c, only in a seeded cluster ---- */
+
+/*
+ * Returns whether an operation that another control instance forwarded is an
+ * order for a zone after which an opposite one was recorded. For the leader.
+ */
+bool ctl_orders_is_replaced(const struct ctl *ctl, const Aw__Op *op);
+/*
+ * Call when the leader has appended an operation to its log, and when one was
+ * applied.
+ */
+void ctl_orders_recorded(struct ctl *ctl, const Aw__Op *op, uint64_t index);
+
 /* ---- control_crashes.c ---- */
 
 /*
--- a/almondward/control_propose.c
+++ b/almondward/control_propose.c
@@ -95,6 +95,8 @@
 		free(proposal);
 		return status;
 	}
+	if (ctl->cluster)
+		ctl_orders_recorded(ctl, op, proposal->index);
 	proposal->since_ms = clk_now_ms(ctl->clk);
 	proposal->timeout_ms = timeout_ms;
 	proposal->done = done;
@@ -245,6 +247,7 @@
 {
 	struct ctl_peer_proposal *proposal;
 	Aw__ProposeStatus status;
+	Aw__OpZone zone;
 	Aw__Op op;
 
 	if (!propose->op || !is_allowed(ctl, link, propose->op)) {
@@ -253,6 +256,13 @@
 		      AW__PROPOSE_STATUS__PROPOSE_REFUSED, NULL);
 		return;
 	}
+	if (ctl->cluster && ctl_orders_is_replaced(ctl, propose->op)) {
+		count_refusal(ctl, AW__PROPOSE_STATUS__PROPOSE_REFUSED,
+			      "replaced");
+		reply(ctl, link, propose->call,
+		      AW__PROPOSE_STATUS__PROPOSE_REFUSED, NULL);
+		return;
+	}
 	proposal = calloc(1, sizeof(*proposal));
 	if (!proposal) {
 		reply(ctl, link, propose->call,
@@ -266,6 +276,12 @@
 	op = *propose->op;
 	op.operator_request_id = (char *)protobuf_c_empty_string;
 	op.expected_version = 0;
+	if (op.body_case == AW__OP__BODY_ZONE) {
+		/* Not stored: only a leader that decides now needs it. */
+		zone = *op.zone;
+		zone.known_index = 0;
+		op.zone = &zone;
+	}
 	status = ctl_propose(ctl, &op, 0, peer_proposal_done, proposal);
 	if (status != AW__PROPOSE_STATUS__PROPOSE_APPLIED)
 		peer_proposal_done(proposal, status, NULL);
--- a/almondward/control_raft.c
+++ b/almondward/control_raft.c
@@ -96,8 +96,11 @@
 		return -1;
 	}
 	ctl_time_applied(ctl);
-	if (ctl->cluster)
+	if (ctl->cluster) {
 		ctl->cluster->plan_index = plan_index(fleet_plan(ctl->fleet));
+		zord_reset(ctl->cluster->zone_orders, last_index,
+			   clk_now_ms(ctl->clk));
+	}
 	return 0;
 }
 
--- a/almondward/control_service.c
+++ b/almondward/control_service.c
@@ -216,19 +216,59 @@
 	change->digest.len = 0;
 }
 
+/*
+ * Refuses an order that its caller may have given up and that must not be
+ * carried out any more. A caller that still waits sends it again.
+ */
+static void refuse_change(struct ctl *ctl, struct http_exchange *exchange,
+			  const char *kind, const char *object,
+			  const char *reason, uint64_t arrived_ms)
+{
+	char quoted[EVENT_TEXT_BYTES];
+
+	event_log(EVENT_CHANGE,
+		  "kind=%s object=%s status=503 reason=%s waited_max_ms=%llu",
+		  kind, event_quote(object, quoted), reason,
+		  (unsigned long long)(clk_now_ms(ctl->clk) - arrived_ms));
+	ctl_count(ctl, "service_changes", reason);
+	respond_error(ctl, exchange, 503, reason, "the order may be outdated");
+}
+
+/*
+ * An order may have waited in the socket while this instance stood still, and
+ * what happened meanwhile may be known here before the order is read, or not.
+ * So the time at which it may have arrived decides about later orders that are
+ * known here, and the leader decides about those that are not.
+ */
 static void change_zone(struct ctl *ctl, struct http_exchange *exchange,
-			struct svc_zone *zone)
+			const struct http_request *req, struct svc_zone *zone)
 {
-	struct pending_change *pending = pending_change_create(
-		ctl, exchange, zone->evacuated ? "evacuate" : "take_back",
-		zone->name);
+	const char *kind = zone->evacuated ? "evacuate" : "take_back";
+	uint64_t arrived_ms =
+		arrival_earliest_ms(ctl->cluster->arrival, req->received_ms);
 	Aw__OpZone body = AW__OP_ZONE__INIT;
+	struct pending_change *pending;
 	Aw__Op op = AW__OP__INIT;
 
+	if (http_exchange_is_abandoned(exchange)) {
+		refuse_change(ctl, exchange, kind, zone->name, "abandoned",
+			      arrived_ms);
+		return;
+	}
+	if (zord_is_replaced_since(ctl->cluster->zone_orders, zone->name,
+				   zone->evacuated, arrived_ms)) {
+		refuse_change(ctl, exchange, kind, zone->name, "replaced",
+			      arrived_ms);
+		return;
+	}
+	pending = pending_change_create(ctl, exchange, kind, zone->name);
 	if (!pending)
 		return;
 	body.zone = zone->name;
 	body.evacuated = zone->evacuated;
+	/* The leader itself knows all that is recorded. */
+	if (!ctl_leads(ctl))
+		body.known_index = fleet_applied_index(ctl->fleet);
 	op.body_case = AW__OP__BODY_ZONE;
 	op.zone = &body;
 	ctl_submit(ctl, &op, change_done, pending);
@@ -605,7 +645,7 @@
 		change_plan(ctl, exchange, req, call.u.change);
 		break;
 	case SVC_CALL_ZONE:
-		change_zone(ctl, exchange, &call.u.zone);
+		change_zone(ctl, exchange, req, &call.u.zone);
 		break;
 	case SVC_CALL_HEARTBEAT:
 		on_heartbeat(ctl, exchange, call.u.server);
--- a/almondward/http.h
+++ b/almondward/http.h
@@ -35,6 +35,7 @@
 	const uint8_t *body;
 	size_t body_bytes;
 	const char *peer; /* "IP:port" of the client */
+	uint64_t received_ms; /* time when its first byte was read */
 	uint64_t head_ms; /* time when the head was complete */
 	/* When its connection was accepted, for the first one on it, else 0. */
 	uint64_t accepted_ms;
@@ -144,6 +145,13 @@
 void http_exchange_on_abort(struct http_exchange *exchange,
 			    void (*fn)(void *arg), void *arg);
 
+/*
+ * Returns true if the caller has closed its connection, although the abort
+ * callback has not been called yet: a request and the end of its connection are
+ * read one after the other.
+ */
+bool http_exchange_is_abandoned(const struct http_exchange *exchange);
+
 /*
  * Starts a graceful shutdown: stops listening if stop_listening, responds with
  * Connection: close unless another request was received after this one, and
--- a/almondward/http_server.c
+++ b/almondward/http_server.c
@@ -45,6 +45,7 @@
 	enum server_conn_state state;
 	struct http_exchange *exchange;
 	struct buf pipelined; /* received after the current request */
+	uint64_t received_ms; /* when the unprocessed bytes were first read */
 	size_t queued_bytes; /* of the response, at the last progress check */
 	uint64_t idle_start_ms; /* in SERVER_IDLE */
 	uint64_t response_due_ms; /* of the current request, 0: no limit */
@@ -94,6 +95,7 @@
 		return NULL;
 	exchange->server = server;
 	exchange->conn = conn;
+	exchange->req.received_ms = conn->received_ms;
 	msg_init(&exchange->msg, HTTP_REQUEST, &server->body_memory);
 	DL_APPEND(server->exchanges, exchange);
 	conn->exchange = exchange;
@@ -140,6 +142,12 @@
 	exchange->abort_arg = arg;
 }
 
+bool http_exchange_is_abandoned(const struct http_exchange *exchange)
+{
+	return !exchange->conn ||
+	       loop_conn_has_ended(exchange->conn->loop_conn);
+}
+
 /* ---- connections ---- */
 
 static void conn_unlink(struct server_conn *conn)
@@ -635,6 +643,8 @@
 	struct server_conn *conn = arg;
 
 	(void)loop_conn;
+	if (!conn->pipelined.len_bytes)
+		conn->received_ms = clk_now_ms(loop_clock(conn->server->loop));
 	if (conn->state != SERVER_HANDLING && conn->state != SERVER_WRITING &&
 	    !conn->pipelined.len_bytes) {
 		process(conn, data, len_bytes);
--- a/almondward/loop.h
+++ b/almondward/loop.h
@@ -232,6 +232,12 @@
  */
 bool loop_conn_has_input(const struct loop_conn *conn);
 
+/*
+ * Returns true if the other end has closed the connection, or its sending side,
+ * although the closed callback has not been called yet. Unread data hides this.
+ */
+bool loop_conn_has_ended(const struct loop_conn *conn);
+
 /*
  * Stops or resumes reading.
  */
--- a/almondward/loop_conn.c
+++ b/almondward/loop_conn.c
@@ -518,6 +518,19 @@
 	return !conn->dead && conn->wsi && poll(&pollfd, 1, 0) > 0;
 }
 
+bool loop_conn_has_ended(const struct loop_conn *conn)
+{
+	ssize_t nr;
+	char byte;
+
+	if (conn->dead || !conn->wsi)
+		return true;
+	do
+		nr = recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	while (nr < 0 && errno == EINTR);
+	return !nr || (nr < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 const char *loop_conn_peer(const struct loop_conn *conn)
 {
 	return conn->peer;
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -10,7 +10,7 @@
 
 extern "C" {
 #include "config.h"
-#include "control_internal.h"
+#include "control_cluster.h"
 }
 
 namespace
@@ -567,6 +567,78 @@
 	EXPECT_EQ(0u, replies.size());
 }
 
+struct OrderCase : ProposeCase {
+	struct ctl_cluster cluster = {};
+	Aw__OpZone zone;
+	uint64_t call = 0;
+
+	OrderCase()
+	{
+		next_index = 100;
+		cluster.zone_orders = zord_create();
+		ctl.cluster = &cluster;
+		aw__op_zone__init(&zone);
+		zone.zone = (char *)"a1";
+		op.body_case = AW__OP__BODY_ZONE;
+		op.zone = &zone;
+	}
+	~OrderCase() override
+	{
+		zord_destroy(cluster.zone_orders);
+	}
+	// Returns whether the leader appends an order that a control instance
+	// forwards; known_index is what that one had applied.
+	bool appends(bool evacuated, uint64_t known_index)
+	{
+		size_t nr_replies = replies.size();
+
+		zone.evacuated = evacuated;
+		zone.known_index = known_index;
+		send_proposal(++call, &control);
+		if (replies.size() == nr_replies)
+			return true;
+		expect_reply(nr_replies + 1, call,
+			     AW__PROPOSE_STATUS__PROPOSE_REFUSED);
+		return false;
+	}
+};
+
+// A follower that stood still forwarded an order to take a zone back, which its
+// sender had given up, and the leader carried it out after a later evacuation.
+TEST_F(OrderCase, ForwardedOrderDoesNotReverseALaterOne)
+{
+	uint64_t before = next_index, taken_back;
+
+	ASSERT_TRUE(appends(true, before));
+	ASSERT_TRUE(appends(false, next_index));
+	taken_back = next_index;
+	// Not applied yet: what is in the log counts.
+	ASSERT_TRUE(appends(true, taken_back));
+	EXPECT_FALSE(appends(false, before));
+	EXPECT_FALSE(appends(false, taken_back));
+	EXPECT_TRUE(appends(false, next_index));
+	EXPECT_FALSE(appends(true, taken_back));
+}
+
+// Another copy of an order may be in the log already; its sender must not be
+// refused then.
+TEST_F(OrderCase, RepeatedOrderIsAppended)
+{
+	uint64_t before = next_index;
+
+	EXPECT_TRUE(appends(true, before));
+	EXPECT_TRUE(appends(true, before));
+}
+
+// Earlier versions do not tell what they had applied, and a log with a field
+// that they do not know is avoided.
+TEST_F(OrderCase, KnownIndexIsNeitherNeededNorStored)
+{
+	ASSERT_TRUE(appends(true, next_index + 1));
+	EXPECT_EQ(0u, last_op->zone->known_index);
+	EXPECT_TRUE(appends(false, 0));
+}
+
 // ---- bodies of operators' changes ----
 
 // No part of an operator's change may be ignored or misread.
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -18,6 +18,8 @@
 	std::vector<std::string> requests; // "METHOD TARGET BODY"
 	std::vector<struct http_exchange *> pending;
 	std::string headers; // of the last request
+	uint64_t received_ms = 0; // of the last request
+	bool abandoned = false; // its caller, when the handler got it
 	bool register_abort = true;
 	bool defer_response = false;
 	bool destroy_in_handler = false;
@@ -95,6 +97,8 @@
 
 		self->requests.push_back(std::string(req->method) + " " +
 					 req->target + " " + body);
+		self->received_ms = req->received_ms;
+		self->abandoned = http_exchange_is_abandoned(exchange);
 		if (self->in_handler)
 			self->in_handler();
 		if (self->destroy_in_handler) {
@@ -516,6 +520,50 @@
 		  raw.received.find("\r\n\r\n2"));
 }
 
+// Guards against work for a caller that has left: the handler gets a request
+// before the end of its connection is read.
+TEST(HttpServer, CallerThatLeftIsKnownToTheHandler)
+{
+	for (bool leaves : { true, false }) {
+		Server s;
+		RawConn raw(s.net, s.address());
+
+		ASSERT_TRUE(s.net.until([&] { return raw.opened; }));
+		s.net.run_ms(20);
+		raw.send("GET /" + H + "\r\n");
+		if (leaves)
+			loop_conn_close_after_send(raw.conn);
+		if (leaves)
+			raw.conn = nullptr;
+		ASSERT_TRUE(
+			s.net.until([&] { return s.requests.size() == 1; }));
+		EXPECT_EQ(leaves, s.abandoned);
+	}
+}
+
+// The time of the first byte bounds how long a request may have waited unread;
+// a pipelined one was read with the request before it.
+TEST(HttpServer, FirstByteOfARequestHasATime)
+{
+	Server s;
+	RawConn raw(s.net, s.address());
+	uint64_t sent_ms;
+
+	s.defer_response = true;
+	raw.send("GET /1 HTTP/1.1\r\nHo");
+	s.net.run_ms(100);
+	sent_ms = clk_now_ms(s.net.clk);
+	raw.send("st: a\r\n\r\nGET /2" + H + "\r\n");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 1; }));
+	EXPECT_LE(s.received_ms, sent_ms - 50);
+	s.net.run_ms(100);
+	Server::respond(s.pending[0], "");
+	ASSERT_TRUE(s.net.until([&] { return s.requests.size() == 2; }));
+	EXPECT_GE(s.received_ms, sent_ms);
+	EXPECT_LE(s.received_ms, sent_ms + 50);
+	Server::respond(s.pending[1], "");
+}
+
 // A caller that keeps sending while its response is pending must not fill the
 // memory.
 TEST(HttpServer, PipelineIsBounded)
