control: A departure that was read late does not end a later process

What callers saw: a backend server left with DELETE without a body, got no response from a control instance that stood still, was acknowledged by another one, and started again under its id. When the first instance went on, the process that had just started got no requests any more.

Cause: a departure without a start time ("born") is taken for that of the process in the table, or of all that began before now, at the time at which it is read. After a pause that is a later process.

Change: such a departure gets 503 if it may have waited for 500 ms, half of the time after which its sender calls another instance, or if its sender has closed the connection. One with a start time names the process and is recorded as before.

Tests: process_orders.py departure_at_woken_follower fails on (1.8 s pause) and passes now, with pauses of 1.8 and 5 s. change_at_woken_follower shows that a configuration, which names the version that it builds on, changes nothing in the same place; it passed before, too.

--- a/almondward/control_service.c
+++ b/almondward/control_service.c
@@ -31,6 +31,12 @@
 #define HEARTBEATS_MAX 4096
 #define OP_TIME_BYTES_MAX 16 /* what the leader adds to an operation */
 #define CONTROLS_MAX 32 /* candidates for receiving heartbeats */
+/*
+ * A departure that does not name a process is refused if it may have waited
+ * this long: its sender has called another instance after one second without a
+ * response, and may have ended and started again since.
+ */
+#define DEPARTURE_WAIT_MAX_MS 500
 
 /*
  * A change requested by a backend server or an operator whose outcome is
@@ -303,14 +309,25 @@
 
 /*
  * A notice without an incarnation applies to the incarnation in the table, or,
- * if the server is not in the table, to all that began before now.
+ * if the server is not in the table, to all that began before now. One that is
+ * read late would apply to a process that has started since.
  */
 static void on_leave(struct ctl *ctl, struct http_exchange *exchange,
-		     struct svc_leave *leave)
+		     const struct http_request *req, struct svc_leave *leave)
 {
 	const struct topo_server *server =
 		topo_find(ctl->cluster->topo, leave->server_id);
+	uint64_t arrived_ms =
+		arrival_earliest_ms(ctl->cluster->arrival, req->received_ms);
+	bool is_late =
+		clk_now_ms(ctl->clk) - arrived_ms > DEPARTURE_WAIT_MAX_MS;
 
+	if (!leave->has_incarnation &&
+	    (is_late || http_exchange_is_abandoned(exchange))) {
+		refuse_change(ctl, exchange, "departure", leave->server_id,
+			      is_late ? "late" : "abandoned", arrived_ms);
+		return;
+	}
 	if (!leave->has_incarnation)
 		leave->incarnation = server ? server->incarnation :
 					      clk_wall_ms(ctl->clk);
@@ -651,7 +668,7 @@
 		on_heartbeat(ctl, exchange, call.u.server);
 		break;
 	case SVC_CALL_LEAVE:
-		on_leave(ctl, exchange, &call.u.leave);
+		on_leave(ctl, exchange, req, &call.u.leave);
 		break;
 	case SVC_CALL_INVALID:
 		event_log(EVENT_CHANGE, "kind=unreadable status=400 detail=%s",
--- a/tests/process_orders.py
+++ b/tests/process_orders.py
@@ -120,9 +120,65 @@
         await late_order(cluster, stopped, "DELETE", "POST", pause_s, False, change_leader)
 
 
+async def departure_at_woken_follower(cluster):
+    """A departure without a start time that a woken instance reads does not end the
+    process that has started under the same id since."""
+    leader = newest_leader(cluster)
+    stopped = next(n for n in cluster.names("control") if n != leader)
+    other = next(n for n in cluster.names("control") if n != stopped)
+    server = cluster.servers["server-1"]
+    target = f"/api/instances/{server.name}"
+    for pause_s in (1.8, 5.0):
+        cluster.signal(stopped, signal.SIGSTOP)
+        stopped_s = time.monotonic()
+        writer = await send_to_stopped(cluster, stopped, "DELETE", target)
+        await asyncio.sleep(PATIENCE_S)
+        answer = await clusterlib.call(cluster.address(other, "control"), "DELETE", target,
+                                       timeout_s=PATIENCE_S)
+        assert answer and answer.status == 200, answer
+        server.end(0.1, same_id=True)
+        await asyncio.sleep(max(0.4, stopped_s + pause_s - time.monotonic()))
+        cluster.signal(stopped, signal.SIGCONT)
+        await asyncio.sleep(OBEYED_S)
+        before = len(server.arrivals)
+        for i in range(80):
+            await cluster.request(f"entry-{i % 2}", f"/read/{i}")
+        assert len(server.arrivals) > before, \
+            f"the process that started during a pause of {pause_s} s gets no requests"
+        writer.close()
+
+
+async def change_at_woken_follower(cluster):
+    """A configuration that a woken instance reads changes nothing after later ones: it
+    names the version that it builds on."""
+    leader = newest_leader(cluster)
+    stopped = next(n for n in cluster.names("control") if n != leader)
+    other = next(n for n in cluster.names("control") if n != stopped)
+    version = 1
+    for pause_s in (1.8, 5.0):
+        cluster.signal(stopped, signal.SIGSTOP)
+        stopped_s = time.monotonic()
+        writer = await send_to_stopped(
+            cluster, stopped, "PATCH", "/api/config", f"If-Match: {version}\r\n",
+            b'{"version":%d,"upsert":{"tenants":[]}}' % (version + 1))
+        await asyncio.sleep(PATIENCE_S)
+        for _ in range(2):
+            answer = await cluster.patch(version, version + 1, {"tenants": []},
+                                         cluster.address(other, "control"))
+            assert answer and answer.status == 200, answer
+            version += 1
+        await asyncio.sleep(max(0, stopped_s + pause_s - time.monotonic()))
+        cluster.signal(stopped, signal.SIGCONT)
+        await asyncio.sleep(OBEYED_S)
+        read = await cluster.read_config()
+        assert read and read["version"] == version, read and read["version"]
+        writer.close()
+
+
 def main():
     clusterlib.run_chosen([order_at_woken_follower, order_at_woken_leader,
-                           order_beside_change_of_leader])
+                           order_beside_change_of_leader, departure_at_woken_follower,
+                           change_at_woken_follower])
 
 
 if __name__ == "__main__":
