http: Refuse responses whose status is not three digits

What callers saw: a server that sent the status 0200 or 00200, or two spaces before it, was answered for with 200. Operators of other systems reported 000, which was passed on there; here it was refused already, as were 099 and below, 600 and above, signs and words.

Cause: http_parser reads any number of leading zeros and spaces, and the check of the status saw only the number.

Change: the status line of a response must have one space and three digits; the rest is as before.

Tests: HttpClient.StatusThatIsNoneIsMalformed and process_answers.py statuses_that_are_none fail on (200 for "0200 OK") and pass now, at an instance that reaches the servers and at one that relays.

--- a/almondward/http_msg.c
+++ b/almondward/http_msg.c
@@ -8,6 +8,9 @@
 #define BODY_BYTES_MIN 4096
 /* Longer lengths do not occur and would need overflow checks. */
 #define LENGTH_DIGITS_MAX 15
+/* Positions in "HTTP/1.1 200 OK". */
+#define STATUS_START 9
+#define STATUS_END 12
 
 void msg_init(struct msg *msg, enum http_parser_type type,
 	      struct http_memory *memory)
@@ -373,6 +376,23 @@
 			   "chunked");
 }
 
+/*
+ * http_parser accepts several spaces before the status and a status with
+ * leading zeros; a caller could read another status then.
+ */
+static bool status_line_ok(const struct msg *msg)
+{
+	const uint8_t *line = msg->head.data;
+
+	if (msg->type != HTTP_RESPONSE)
+		return true;
+	return msg->head.len_bytes > STATUS_END &&
+	       line[STATUS_START - 1] == ' ' &&
+	       strspn((const char *)line + STATUS_START, "0123456789") ==
+		       STATUS_END - STATUS_START &&
+	       (line[STATUS_END] == ' ' || line[STATUS_END] == '\r');
+}
+
 static enum msg_status parse_head(struct msg *msg)
 {
 	const http_parser *parser = &msg->parser;
@@ -391,7 +411,7 @@
 	terminate_strings(msg);
 	msg->head_done = true;
 	if (parser->http_major != 1 || parser->http_minor > 1 ||
-	    !framing_ok(msg))
+	    !status_line_ok(msg) || !framing_ok(msg))
 		return MSG_ERR_MALFORMED;
 	return MSG_HEAD;
 }
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -225,6 +225,7 @@
         self.cut_bytes = 0        # length of a response, for cut_*
         self.cut_bytes_max = 1    # the longest that is cut
         self.resets = False       # whether it resets the connection after that
+        self.nr_early = 0         # answers of answer_early()
         self.refused = {}         # first refusal on each connection, for stale_*
         self.work_s = 0.02        # time that a request takes
         self.cold_until = 0.0     # end of the warm-up announced in heartbeats
@@ -369,6 +370,9 @@
                 reset_connection(writer)
                 return
             while True:
+                if self.fault and self.fault.startswith("early"):
+                    await self.answer_early(reader, writer)
+                    break
                 first, headers, body = await read_message(reader)
                 if not await self.handle_request(writer, first, headers, body):
                     break
@@ -400,6 +404,8 @@
                         while it does
         endless_*       the named part of the response never ends
         one_byte        the headers arrive one byte at a time and never end
+        line_*          the response has this text in place of the status
+        early_*         see answer_early()
 
         Returns False if the connection must be closed.
         """
@@ -455,6 +461,8 @@
         status = "200 OK"
         if self.fault and self.fault.startswith("status_"):
             status = f"{self.fault.split('_')[1]} Other"
+        if self.fault and self.fault.startswith("line_"):
+            status = self.fault.split("_", 1)[1]
         head = (f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\nX-Server-Stamp: {self.name}"
                 f"\r\nX-Server-Load: {self.in_flight},0,8{self.notice_header()}{self.limit_header()}"
                 "\r\nContent-Length: ")
@@ -480,6 +488,28 @@
         self.last_response = response
         return True
 
+    async def answer_early(self, reader, writer):
+        """Answers a request at once, sends the first half of the body of the response and
+        resets the connection, while the body of the request is still being sent. The
+        response has a length (early_length), chunks (early_chunked) or neither, with
+        "Connection: close" (early_close), in HTTP/1.0 (early_old) or not (early_bare)."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        method, target, _ = head.split("\r\n")[0].split()
+        headers = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:-2])
+        self.cluster.record_run(self, headers["x-request-id"], method, target, headers, b"")
+        self.nr_early += 1
+        text = b"whole response " * 20
+        framing = {"early_length": f"Content-Length: {len(text)}\r\n",
+                   "early_chunked": "Transfer-Encoding: chunked\r\n",
+                   "early_close": "Connection: close\r\n"}.get(self.fault, "")
+        begin = f"{len(text):x}\r\n".encode() if self.fault == "early_chunked" else b""
+        version = "HTTP/1.0" if self.fault == "early_old" else "HTTP/1.1"
+        writer.write(f"{version} 200 OK\r\nX-Request-Id: {headers['x-request-id']}\r\n"
+                     f"X-Server-Stamp: {self.name}\r\n{framing}\r\n".encode() + begin
+                     + text[:len(text) // 2])
+        await asyncio.sleep(0.05)
+        reset_connection(writer)
+
     async def refuse_first(self, writer, request_id):
         """Refuses the first request on a connection, and, with stale_idle, sends a
         refusal of another request while the connection is idle."""
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -650,6 +650,70 @@
 	EXPECT_FALSE(c.reusable);
 }
 
+// Reported by operators of other systems: a server answered a long upload at
+// once without a length, sent a part of its body and reset the connection while
+// the upload was still being written, and the caller got the part as the whole.
+TEST(HttpClient, EarlyPartIsNeverWhole)
+{
+	const std::string parts[] = {
+		OK + "\r\nabc",
+		OK + "Connection: close\r\n\r\nabc",
+		OK + "Connection: keep-alive\r\n\r\nabc",
+		"HTTP/1.0 200 OK\r\n\r\nabc",
+		OK + "Transfer-Encoding: identity\r\n\r\nabc",
+		OK + "Content-Length: 4\r\n\r\nabc",
+		OK + TE + "\r\n3\r\nabc\r\n",
+		OK + TE + "\r\n3\r\nabc\r\n0\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" + OK + "\r\nabc",
+	};
+
+	for (const auto &part : parts) {
+		for (bool has_unread : { true, false }) {
+			Client c("POST");
+
+			c.body.assign(has_unread ? 32 << 20 : 10, 'x');
+			c.start_and_wait();
+			loop_conn_pause(c.server.last.conn, true);
+			c.server.last.send(part);
+			/* With unread data the connection is reset. */
+			c.server.last.close();
+			ASSERT_TRUE(c.finish());
+			EXPECT_NE(HTTP_OK, c.result) << part;
+			EXPECT_FALSE(c.reusable);
+		}
+	}
+}
+
+// Reported by operators of other systems: a response with the status 000 was
+// passed on to the caller.
+TEST(HttpClient, StatusThatIsNoneIsMalformed)
+{
+	for (const char *status :
+	     { "000",	 "0",	  "00",	  "",	  "1",	 "20",	 "099",
+	       "0200",	 "00200", "2000", "600",  "999", "1000", "+200",
+	       "-200",	 "-01",	  "2e2",  "0xc8", "abc", "OK",	 "200.5",
+	       "200abc", "200,",  " 200", "\t200" }) {
+		Client c;
+
+		c.start_and_wait();
+		c.server.last.send(std::string("HTTP/1.1 ") + status +
+				   " OK\r\n" + CL3 + "\r\nabc");
+		ASSERT_TRUE(c.finish());
+		EXPECT_EQ(HTTP_MALFORMED, c.result) << status;
+		EXPECT_FALSE(c.reusable) << status;
+	}
+	for (const char *line : { "HTTP/1.1 200", "HTTP/1.1 200 ",
+				  "HTTP/1.1 200 A b c", "HTTP/1.0 200 OK" }) {
+		Client c;
+
+		c.start_and_wait();
+		c.server.last.send(std::string(line) + "\r\n" + CL3 +
+				   "\r\nabc");
+		ASSERT_TRUE(c.finish());
+		EXPECT_EQ(HTTP_OK, c.result) << line;
+	}
+}
+
 TEST(HttpClient, DestroyInDone)
 {
 	for (bool close : { false, true }) {
