share: Grant no share twice after the core was killed

Cause: a new leader reserves the shares of entry instances that have not reported by their number. After a start of the whole core its list is empty, and the first instances to report got what the others held.

Change: a leader that has never had a list takes all that reports do not name for held by others, for 1.5 s.

--- a/almondward/control_cluster.c
+++ b/almondward/control_cluster.c
@@ -432,6 +432,7 @@
 static void begin_term(struct ctl *ctl)
 {
 	struct ctl_cluster *cluster = ctl->cluster;
+	size_t nr_instances;
 
 	if (cluster->led_term == ctl->soft_term)
 		return;
@@ -440,7 +441,8 @@
 	cluster->subscribed_term = 0;
 	drop_heartbeats(cluster);
 	share_pool_destroy(cluster->shares);
-	cluster->shares = share_pool_create(ctl->clk);
+	topo_instances(cluster->topo, &nr_instances);
+	cluster->shares = share_pool_create(ctl->clk, nr_instances > 0);
 	if (!cluster->shares || ctl_crashes_begin_term(ctl)) {
 		ctl_fail(ctl, "out of memory for the leader state");
 		return;
--- a/almondward/share.c
+++ b/almondward/share.c
@@ -74,6 +74,7 @@
 	size_t nr_holders;
 	uint64_t demand_milli; /* sum over all holders */
 	uint64_t reserved;
+	uint64_t first_held; /* sum of the shares in first reports */
 	/* Tokens, and uses of shares that are no longer held. */
 	struct share_ring used;
 	UT_hash_handle hh;
@@ -82,10 +83,11 @@
 struct share_pool {
 	struct clk *clk;
 	uint64_t created_ms;
+	bool knows_instances;
 	struct customer *customers;
 };
 
-struct share_pool *share_pool_create(struct clk *clk)
+struct share_pool *share_pool_create(struct clk *clk, bool knows_instances)
 {
 	struct share_pool *pool = calloc(1, sizeof(*pool));
 
@@ -93,6 +95,7 @@
 		return NULL;
 	pool->clk = clk;
 	pool->created_ms = clk_now_ms(clk);
+	pool->knows_instances = knows_instances;
 	return pool;
 }
 
@@ -192,12 +195,16 @@
 
 /*
  * Returns the shares that instances may hold that have not reported to a new
- * leader yet.
+ * leader yet. As long as it may not know their number, they may hold all that
+ * no report has named.
  */
 static uint64_t unreported_share(const struct share_pool *pool,
 				 const struct customer *customer,
 				 uint32_t divided, size_t nr_instances)
 {
+	if (!pool->knows_instances &&
+	    clk_now_ms(pool->clk) < pool->created_ms + SHARE_SETTLE_MS)
+		return saturating_sub(divided, customer->first_held);
 	if (customer->nr_holders >= nr_instances ||
 	    clk_now_ms(pool->clk) >= pool->created_ms + SHARE_LIFETIME_MS)
 		return 0;
@@ -229,6 +236,8 @@
 {
 	uint32_t reserved = report->held;
 
+	if (!holder->incarnation)
+		customer->first_held += report->held;
 	if (holder->incarnation && holder->incarnation != report->incarnation)
 		ring_add(&customer->used, holder->reserved);
 	else if (!report->confirmed && holder->reserved > reserved)
--- a/almondward/share.h
+++ b/almondward/share.h
@@ -34,6 +34,9 @@
 #define SHARE_REPORT_PER_INSTANCE_MS 10
 #define SHARE_REPORT_MAX_MS 3000
 
+/* Time in which the instances find a new leader and report to it. */
+#define SHARE_SETTLE_MS 1500
+
 /* Slices of a window in which uses are counted. The ring is at least one slice
  * longer than the window, so that a use never leaves it too early. */
 #define SHARE_WINDOW_SLICES 20
@@ -54,9 +57,11 @@
  * Returns NULL when memory is exhausted. A new leader does not know the shares
  * of the instances: those that have not reported are assumed to have an equal
  * share for SHARE_LIFETIME_MS, and the tokens of the previous leader are
- * assumed to have been used at an even rate.
+ * assumed to have been used at an even rate. A leader that does not know the
+ * instances, since it has not followed another one, gives no one a larger share
+ * for SHARE_SETTLE_MS, unless the reports account for the whole limit.
  */
-struct share_pool *share_pool_create(struct clk *clk);
+struct share_pool *share_pool_create(struct clk *clk, bool knows_instances);
 void share_pool_destroy(struct share_pool *pool);
 
 /* Number of requests of a customer in any window. */
--- a/tests/share_test.cc
+++ b/tests/share_test.cc
@@ -19,9 +19,10 @@
 {
 protected:
 	struct clk *clk = clk_create_paused(1000000);
-	struct share_pool *pool = share_pool_create(clk);
+	struct share_pool *pool = share_pool_create(clk, true);
 	std::vector<struct share_bucket> buckets;
 	std::vector<bool> confirmed;
+	size_t known_instances = 0; // of the leader, 0: all
 
 	~Share() override
 	{
@@ -57,8 +58,9 @@
 			confirmed[i],
 			wanted
 		};
-		struct share_grant grant =
-			share_pool_report(pool, &from, &limit, buckets.size());
+		struct share_grant grant = share_pool_report(
+			pool, &from, &limit,
+			known_instances ? known_instances : buckets.size());
 
 		share_bucket_grant(&buckets[i], &grant, now());
 		confirmed[i] = true;
@@ -301,7 +303,7 @@
 	}
 	uint64_t held = buckets[3].held;
 	share_pool_destroy(pool);
-	pool = share_pool_create(clk);
+	pool = share_pool_create(clk, true);
 	for (int i = 0; i < 10; i++) {
 		for (size_t k = 0; k < 3; k++)
 			report(k);
@@ -311,6 +313,45 @@
 	EXPECT_EQ(held, buckets[3].held);
 }
 
+// All control instances were killed and started again: their leader has an empty
+// list of instances, and the first ones to report got shares that the others
+// still held.
+TEST_F(Share, LeaderWithoutAListGivesNoShareTwice)
+{
+	uint64_t held;
+
+	create(8);
+	for (int i = 0; i < 10; i++) {
+		report_all();
+		clk_advance_ms(clk, 500);
+	}
+	held = total_held();
+	share_pool_destroy(pool);
+	pool = share_pool_create(clk, false);
+	for (size_t i = 0; i < buckets.size(); i++) {
+		known_instances = i + 1;
+		report(i);
+		EXPECT_LE(total_held(), held) << i;
+		clk_advance_ms(clk, 100);
+	}
+	for (int i = 0; i < 4; i++)
+		report_all();
+	EXPECT_LE(total_held(), LIMIT.requests);
+}
+
+// Nothing holds a share at the start of a cluster; it must not wait for long.
+TEST_F(Share, LeaderWithoutAListGivesSharesSoon)
+{
+	create(2);
+	share_pool_destroy(pool);
+	pool = share_pool_create(clk, false);
+	report_all();
+	EXPECT_EQ(0u, total_held());
+	clk_advance_ms(clk, SHARE_SETTLE_MS);
+	report_all();
+	EXPECT_GT(total_held(), LIMIT.requests / 2);
+}
+
 // An instance without a leader keeps its share for SHARE_LIFETIME_MS and then
 // falls back to a small part of it.
 TEST_F(Share, ShareExpiresWithoutALeader)
