log: Do not block on a full pipe

Change: a line that standard error does not accept at once is dropped, and the number of dropped lines is logged before the next one.

--- a/almondward/log.h
+++ b/almondward/log.h
@@ -3,7 +3,9 @@
  *
  * A line consists of the wall-clock time in UTC, the level, the component and
  * the message. The component is a fixed string such as "raft" or "entry". Never
- * pass secrets to these functions.
+ * pass secrets to these functions. Logging never blocks the process: a line that
+ * standard error does not accept at once is dropped, and the number of dropped
+ * lines is logged before the next one.
  */
 #ifndef LOG_H
 #define LOG_H
