--- a/almondward/control_propose.c
+++ b/almondward/control_propose.c
@@ -277,7 +277,7 @@
 	op.operator_request_id = (char *)protobuf_c_empty_string;
 	op.expected_version = 0;
 	if (op.body_case == AW__OP__BODY_ZONE) {
-		/* Not stored: only a leader that decides now needs it. */
+		/* Not stored, so that earlier versions read the same log. */
 		zone = *op.zone;
 		zone.known_index = 0;
 		op.zone = &zone;
--- a/almondward/log.c
+++ b/almondward/log.c
@@ -15,6 +15,7 @@
 #define LINE_BYTES_MAX (TEXT_BYTES_MAX + 256)
 
 static enum log_level max_level = LOG_LEVEL_INFO;
+static uint64_t nr_dropped; /* lines since the last one that was written */
 
 static const char *const level_names[] = {
 	[LOG_LEVEL_ERROR] = "error",
@@ -28,8 +29,6 @@
 	max_level = level;
 }
 
-static uint64_t nr_dropped; /* lines since the last one that was written */
-
 /*
  * Standard error may be shared with other processes, so it is not made
  * non-blocking. Returns false if it does not accept the line now.
--- a/tests/zone_orders_test.cc
+++ b/tests/zone_orders_test.cc
@@ -38,7 +38,7 @@
 	EXPECT_FALSE(zord_is_replaced_since(zord, "a2", TAKE_BACK, 0));
 }
 
-// Also one that changed nothing: the operator was told that it is in force.
+// Also one that changed nothing: it was acknowledged.
 TEST_F(ZoneOrders, RepeatedOrderReplacesAgain)
 {
 	zord_record(zord, "a1", EVACUATE, 10, 1000);
