control: Refuse orders that may have waited for half a second

Change: an order that may have waited for 500 ms gets 503, as a departure without a start time does; its sender has the other half of its second to use another instance.

--- a/almondward/control_service.c
+++ b/almondward/control_service.c
@@ -32,11 +32,11 @@
 #define OP_TIME_BYTES_MAX 16 /* what the leader adds to an operation */
 #define CONTROLS_MAX 32 /* candidates for receiving heartbeats */
 /*
- * A departure that does not name a process is refused if it may have waited
- * this long: its sender has called another instance after one second without a
- * response, and may have ended and started again since.
+ * An order for a zone, or a departure that does not name a process, is refused
+ * if it may have waited this long: its sender calls another instance after one
+ * second without a response, and what it says may not hold any more.
  */
-#define DEPARTURE_WAIT_MAX_MS 500
+#define CHANGE_WAIT_MAX_MS 500
 
 /*
  * A change requested by a backend server or an operator whose outcome is
@@ -240,6 +240,23 @@
 	respond_error(ctl, exchange, 503, reason, "the order may be outdated");
 }
 
+/*
+ * Refuses a change that may have waited for long, or whose caller has left.
+ * Returns whether it was refused.
+ */
+static bool refuse_late_change(struct ctl *ctl, struct http_exchange *exchange,
+			       const char *kind, const char *object,
+			       uint64_t arrived_ms)
+{
+	bool is_late = clk_now_ms(ctl->clk) - arrived_ms > CHANGE_WAIT_MAX_MS;
+
+	if (!is_late && !http_exchange_is_abandoned(exchange))
+		return false;
+	refuse_change(ctl, exchange, kind, object,
+		      is_late ? "late" : "abandoned", arrived_ms);
+	return true;
+}
+
 /*
  * An order may have waited in the socket while this instance stood still, and
  * what happened meanwhile may be known here before the order is read, or not.
@@ -256,11 +273,8 @@
 	struct pending_change *pending;
 	Aw__Op op = AW__OP__INIT;
 
-	if (http_exchange_is_abandoned(exchange)) {
-		refuse_change(ctl, exchange, kind, zone->name, "abandoned",
-			      arrived_ms);
+	if (refuse_late_change(ctl, exchange, kind, zone->name, arrived_ms))
 		return;
-	}
 	if (zord_is_replaced_since(ctl->cluster->zone_orders, zone->name,
 				   zone->evacuated, arrived_ms)) {
 		refuse_change(ctl, exchange, kind, zone->name, "replaced",
@@ -319,15 +333,11 @@
 		topo_find(ctl->cluster->topo, leave->server_id);
 	uint64_t arrived_ms =
 		arrival_earliest_ms(ctl->cluster->arrival, req->received_ms);
-	bool is_late =
-		clk_now_ms(ctl->clk) - arrived_ms > DEPARTURE_WAIT_MAX_MS;
 
 	if (!leave->has_incarnation &&
-	    (is_late || http_exchange_is_abandoned(exchange))) {
-		refuse_change(ctl, exchange, "departure", leave->server_id,
-			      is_late ? "late" : "abandoned", arrived_ms);
+	    refuse_late_change(ctl, exchange, "departure", leave->server_id,
+			       arrived_ms))
 		return;
-	}
 	if (!leave->has_incarnation)
 		leave->incarnation = server ? server->incarnation :
 					      clk_wall_ms(ctl->clk);
