http: Keep the order of the fields of a request

Cause: the time of the first byte was put before that of the head, and core_fake.h initializes a request by position. The product itself names the fields and was not affected.

Change: the new field is the last one.

--- a/almondward/http.h
+++ b/almondward/http.h
@@ -35,10 +35,10 @@
 	const uint8_t *body;
 	size_t body_bytes;
 	const char *peer; /* "IP:port" of the client */
-	uint64_t received_ms; /* time when its first byte was read */
 	uint64_t head_ms; /* time when the head was complete */
 	/* When its connection was accepted, for the first one on it, else 0. */
 	uint64_t accepted_ms;
+	uint64_t received_ms; /* time when its first byte was read */
 };
 
 struct http_response {
